Add the decision core, the HTTP and log shells and the transport between daemons

Cause: nothing existed. The decisions (configuration fold, rate shares, at-most-once attempts, overload, retries, membership, quarantine, routing) are deterministic state machines without I/O; platform and peers are thin shells over Beast and ZeroMQ.

State: compiles; not yet run as a whole, no tests yet.

--- /dev/null
+++ b/packages/core/src/configuration/queries/plan.cpp
@@ -0,0 +1,204 @@
+#include "lycheewell/core/configuration/queries/plan.h"
+
+#include <algorithm>
+#include <map>
+#include <sstream>
+
+namespace lycheewell::core::configuration::queries {
+namespace {
+
+std::optional<ObjectValue> CurrentValue(const State& state,
+                                        std::string_view object) {
+  const auto found = state.objects.find(object);
+  if (found == state.objects.end()) {
+    return std::nullopt;
+  }
+  return found->second.value;
+}
+
+std::uint64_t CurrentRevision(const State& state, std::string_view object) {
+  const auto found = state.objects.find(object);
+  return found == state.objects.end() ? 0 : found->second.note.offset + 1;
+}
+
+bool WillExist(const State& state, const std::vector<Intent>& intents,
+               const std::string& object) {
+  for (const Intent& intent : intents) {
+    if (intent.object == object) {
+      return intent.value.has_value();
+    }
+  }
+  return state.objects.contains(object);
+}
+
+// Problems that concern references between objects.
+std::vector<std::string> FindProblems(const State& state,
+                                      const std::vector<Intent>& intents) {
+  std::vector<std::string> problems;
+  for (const Intent& intent : intents) {
+    const auto* key = intent.value ? std::get_if<Key>(&*intent.value) : nullptr;
+    if (key != nullptr &&
+        !WillExist(state, intents, AccountObject(key->account))) {
+      problems.push_back(intent.object + ": account '" + key->account +
+                         "' does not exist");
+    }
+    if (!intent.value && !state.objects.contains(intent.object)) {
+      problems.push_back(intent.object + " does not exist");
+    }
+    if (intent.value && ObjectKind(intent.object) == "target" &&
+        !state.members.contains(ObjectName(intent.object)) &&
+        !std::get<Retirement>(*intent.value).gone) {
+      problems.push_back(intent.object +
+                         ": no such daemon has announced itself");
+    }
+    if (!intent.value && ObjectKind(intent.object) == "account") {
+      for (const auto& [name, object] : state.objects) {
+        const auto* held = std::get_if<Key>(&object.value);
+        if (held != nullptr && !held->withdrawn &&
+            AccountObject(held->account) == intent.object) {
+          problems.push_back(intent.object + ": " + name + " is still in use");
+        }
+      }
+    }
+  }
+  return problems;
+}
+
+std::string DescribeAccountDisruption(const Account& before,
+                                      const Account& after) {
+  if (after.rate_per_second < before.rate_per_second ||
+      after.burst < before.burst) {
+    return "requests above the lower limit will be refused";
+  }
+  return {};
+}
+
+std::string DescribeRouteDisruption(const Route& before, const Route& after) {
+  if (before.open && !after.open) {
+    return "callers without a key will be refused";
+  }
+  if (after.importance < before.importance) {
+    return "requests will be shed earlier under overload";
+  }
+  if (!before.idempotent && after.idempotent) {
+    return "requests may be retried and so run more than once";
+  }
+  return {};
+}
+
+// What the change can interrupt; empty for nothing.
+std::string DescribeDisruption(const std::optional<ObjectValue>& before,
+                               const std::optional<ObjectValue>& after) {
+  if (!before) {
+    if (after && std::holds_alternative<Retirement>(*after)) {
+      return "the target takes no new requests";
+    }
+    const auto* route = after ? std::get_if<Route>(&*after) : nullptr;
+    return route != nullptr && route->open ? "no key will be needed" : "";
+  }
+  if (!after) {
+    return std::holds_alternative<Retirement>(*before)
+               ? ""
+               : "what depends on it will be refused or treated by defaults";
+  }
+  if (const auto* account = std::get_if<Account>(&*after)) {
+    return DescribeAccountDisruption(std::get<Account>(*before), *account);
+  }
+  if (const auto* key = std::get_if<Key>(&*after)) {
+    const bool newly_withdrawn =
+        key->withdrawn && !std::get<Key>(*before).withdrawn;
+    return newly_withdrawn ? "callers with this key will be refused" : "";
+  }
+  if (const auto* route = std::get_if<Route>(&*after)) {
+    return DescribeRouteDisruption(std::get<Route>(*before), *route);
+  }
+  return "the daemon's shares may be given to others";
+}
+
+std::string Summarise(const std::string& object,
+                      const std::optional<ObjectValue>& before,
+                      const std::optional<ObjectValue>& after) {
+  if (!before) {
+    return "+ " + object + ": " + DescribeValue(*after);
+  }
+  if (!after) {
+    return "- " + object + ": " + DescribeValue(*before);
+  }
+  return "~ " + object + ": " + DescribeValue(*before) + " -> " +
+         DescribeValue(*after);
+}
+
+}  // namespace
+
+std::variant<Plan, PlanError> MakePlan(const State& state,
+                                       const std::vector<Intent>& intents) {
+  const std::vector<std::string> problems = FindProblems(state, intents);
+  if (!problems.empty()) {
+    return PlanError{problems};
+  }
+  Plan plan{.state_offset = state.next};
+  for (const Intent& intent : intents) {
+    const auto before = CurrentValue(state, intent.object);
+    if (before == intent.value) {
+      continue;
+    }
+    plan.entries.push_back(
+        {.change = {.object = intent.object,
+                    .based_on = CurrentRevision(state, intent.object),
+                    .value = intent.value},
+         .before = before,
+         .summary = Summarise(intent.object, before, intent.value),
+         .disruption = DescribeDisruption(before, intent.value)});
+  }
+  return plan;
+}
+
+std::optional<std::vector<Intent>> IntentsToReturnTo(const State& state,
+                                                     Offset offset) {
+  const bool forgotten = state.history.size() >= kHistoryEntries &&
+                         state.history.front()->note.offset >= offset;
+  if (forgotten || offset > state.next) {
+    return std::nullopt;
+  }
+  std::map<std::string, std::optional<ObjectValue>> values;
+  for (auto entry = state.history.rbegin(); entry != state.history.rend();
+       ++entry) {
+    if ((*entry)->note.offset < offset) {
+      break;
+    }
+    if (!(*entry)->rejection.empty()) {
+      continue;
+    }
+    for (const AppliedChange& change : (*entry)->changes) {
+      values[change.object] = change.before;
+    }
+  }
+  std::vector<Intent> intents;
+  for (auto& [object, value] : values) {
+    if (value || state.objects.contains(object)) {
+      intents.push_back({object, value});
+    }
+  }
+  return intents;
+}
+
+std::string DescribeValue(const ObjectValue& value) {
+  std::ostringstream text;
+  if (const auto* account = std::get_if<Account>(&value)) {
+    text << "rate " << account->rate_per_second << "/s, burst "
+         << account->burst;
+  } else if (const auto* key = std::get_if<Key>(&value)) {
+    text << "account " << key->account << ", "
+         << (key->withdrawn ? "withdrawn" : "in use");
+  } else if (const auto* route = std::get_if<Route>(&value)) {
+    text << "importance " << ImportanceName(route->importance) << ", "
+         << (route->idempotent ? "idempotent" : "not idempotent") << ", "
+         << (route->open ? "open" : "needs a key");
+  } else {
+    text << (std::get<Retirement>(value).gone ? "retired, daemon is gone"
+                                              : "retired");
+  }
+  return text.str();
+}
+
+}  // namespace lycheewell::core::configuration::queries
--- /dev/null
+++ b/packages/core/src/rate/account_limiter.cpp
@@ -0,0 +1,200 @@
+#include "lycheewell/core/rate/account_limiter.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+#include "lycheewell/core/configuration/queries/shares.h"
+
+namespace lycheewell::core::rate {
+namespace {
+
+// Demand is averaged over this time.
+constexpr double kDemandWindowSeconds = 1.0;
+
+// Tokens are fetched ahead for the demand of this time.
+constexpr double kFetchAheadSeconds = 0.1;
+
+// Below this demand nothing is fetched ahead.
+constexpr double kLeastDemandPerSecond = 0.5;
+
+// A loan request that is unanswered for longer is taken for lost.
+constexpr Duration kLoanAnswerTime = std::chrono::milliseconds(50);
+
+// A share that changed hands is used only when the last holder's loans are
+// over.
+constexpr Duration kNewShareDelay =
+    kLoanLifetime + std::chrono::milliseconds(10);
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+}  // namespace
+
+AccountLimiter::AccountLimiter(Options new_options, Instant now)
+    : options(std::move(new_options)),
+      bucket({}, now),
+      demand_updated_at(now) {}
+
+void AccountLimiter::Configure(const configuration::Account& account,
+                               const configuration::ShareRoster& roster,
+                               Instant now) {
+  using configuration::queries::CountShares;
+  const std::size_t held_before = CountShares(this->shares, this->options.self);
+  const std::size_t held = CountShares(roster, this->options.self);
+  const bool is_first = roster.epoch == 1 && this->shares.epoch == 0;
+  if (roster.epoch != this->shares.epoch) {
+    this->stopped_shares = 0;
+    const std::size_t kept = is_first ? held : std::min(held, held_before);
+    this->new_shares = held - kept;
+    this->new_shares_start_at = now + kNewShareDelay;
+  }
+  this->limits = account;
+  this->shares = roster;
+  this->ResizeBucket(now);
+  if (is_first) {
+    this->bucket.Fill();
+  }
+}
+
+void AccountLimiter::StopUsingShares(std::size_t count, Instant now) {
+  this->stopped_shares = std::max(this->stopped_shares, count);
+  this->ResizeBucket(now);
+}
+
+void AccountLimiter::StartNewShares(Instant now) {
+  if (this->new_shares > 0 && now >= this->new_shares_start_at) {
+    this->ResizeBucket(now);
+  }
+}
+
+void AccountLimiter::ResizeBucket(Instant now) {
+  const std::size_t held =
+      configuration::queries::CountShares(this->shares, this->options.self);
+  if (now >= this->new_shares_start_at) {
+    this->new_shares = 0;
+  }
+  const std::size_t unused = this->stopped_shares + this->new_shares;
+  const std::size_t used = held - std::min(held, unused);
+  const std::size_t total =
+      std::max<std::size_t>(1, this->shares.shares.size());
+  const double part = static_cast<double>(used) / static_cast<double>(total);
+  const double capacity =
+      this->limits.burst * static_cast<double>(kOneToken) * part;
+  this->bucket.Resize(this->limits.rate_per_second * part,
+                      static_cast<MicroTokens>(std::floor(capacity)), now);
+}
+
+bool AccountLimiter::TryAdmit(const HeartbeatTable& heartbeats, Instant now) {
+  this->CountDemand(now);
+  this->StartNewShares(now);
+  if (LeaseIsValid(this->shares, this->options.self, heartbeats, now) &&
+      this->bucket.Take(kOneToken, kOneToken, now) == kOneToken) {
+    return true;
+  }
+  return this->purse.Spend(kOneToken, now);
+}
+
+std::vector<LoanRequest> AccountLimiter::RequestLoans(std::size_t waiting,
+                                                      Instant now) {
+  const double since_demand = Seconds(now - this->demand_updated_at);
+  const double demand =
+      this->demand_per_second * std::exp(-since_demand / kDemandWindowSeconds);
+  const double ahead = demand < kLeastDemandPerSecond
+                           ? 0
+                           : std::max(1.0, demand * kFetchAheadSeconds);
+  const double wanted =
+      (static_cast<double>(waiting) + ahead) * static_cast<double>(kOneToken) -
+      static_cast<double>(this->AtHand(now));
+  const bool urgent = waiting > 0;
+  if (wanted <= 0 ||
+      (!urgent && wanted * 2 < ahead * static_cast<double>(kOneToken))) {
+    return {};
+  }
+  std::set<DaemonRef> lenders;
+  for (const configuration::Share& share : this->shares.shares) {
+    const bool is_other = share.holder != this->options.self && !share.released;
+    if (is_other &&
+        !this->purse.IsWaitingFor(share.holder, now - kLoanAnswerTime)) {
+      lenders.insert(share.holder);
+    }
+  }
+  if (lenders.empty()) {
+    return {};
+  }
+  const std::size_t first = this->options.random() % lenders.size();
+  std::vector<DaemonRef> order(lenders.begin(), lenders.end());
+  std::rotate(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(first),
+              order.end());
+  if (!urgent) {
+    order.resize(1);
+  }
+  std::vector<LoanRequest> requests;
+  for (const DaemonRef& lender : order) {
+    const std::uint64_t loan_id = this->options.random();
+    this->purse.ExpectLoan(loan_id, lender, now);
+    requests.push_back({.account = this->options.account,
+                        .lender = lender,
+                        .loan_id = loan_id,
+                        .amount = static_cast<MicroTokens>(std::max(
+                            wanted / static_cast<double>(order.size()),
+                            std::min(wanted, static_cast<double>(kOneToken)))),
+                        .urgent = urgent});
+  }
+  return requests;
+}
+
+MicroTokens AccountLimiter::Lend(const LoanRequest& request,
+                                 const HeartbeatTable& heartbeats,
+                                 Instant now) {
+  if (!LeaseIsValid(this->shares, this->options.self, heartbeats, now)) {
+    return 0;
+  }
+  this->StartNewShares(now);
+  const MicroTokens keep = request.urgent ? 0 : this->bucket.capacity() / 2;
+  return this->bucket.Lend(request.loan_id, request.amount, keep, now);
+}
+
+void AccountLimiter::AddLoan(std::uint64_t loan_id, MicroTokens amount,
+                             Instant now) {
+  this->purse.AddLoan(loan_id, amount, now);
+}
+
+void AccountLimiter::SettleLoan(const LoanSettlement& settlement, Instant now) {
+  this->bucket.SettleLoan(settlement.loan_id, settlement.spent,
+                          settlement.returned, now);
+}
+
+std::vector<LoanSettlement> AccountLimiter::TakeSettlements(Instant now) {
+  return this->purse.TakeSettlements(this->options.account, now);
+}
+
+bool AccountLimiter::IsGathering(Instant now) const {
+  return std::any_of(this->shares.shares.begin(), this->shares.shares.end(),
+                     [&](const configuration::Share& share) {
+                       return this->purse.IsWaitingFor(share.holder,
+                                                       now - kLoanAnswerTime);
+                     });
+}
+
+Duration AccountLimiter::TimePerToken() const {
+  if (this->limits.rate_per_second <= 0) {
+    return std::chrono::seconds(1);
+  }
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(1.0 / this->limits.rate_per_second));
+}
+
+MicroTokens AccountLimiter::AtHand(Instant now) const {
+  return this->bucket.level() + this->purse.Available(now);
+}
+
+void AccountLimiter::CountDemand(Instant now) {
+  const double elapsed = Seconds(now - this->demand_updated_at);
+  this->demand_per_second *= std::exp(-elapsed / kDemandWindowSeconds);
+  this->demand_per_second += 1.0 / kDemandWindowSeconds;
+  this->demand_updated_at = now;
+}
+
+}  // namespace lycheewell::core::rate
--- /dev/null
+++ b/packages/core/src/rate/share_issuer.cpp
@@ -0,0 +1,142 @@
+#include "lycheewell/core/rate/share_issuer.h"
+
+#include <algorithm>
+
+#include "lycheewell/core/configuration/queries/shares.h"
+#include "lycheewell/core/rate/token_bucket.h"
+#include "lycheewell/core/routing/rendezvous.h"
+
+namespace lycheewell::core::rate {
+namespace {
+
+using configuration::FenceObjected;
+using configuration::Record;
+using configuration::Share;
+using configuration::ShareFenced;
+using configuration::ShareRoster;
+using configuration::State;
+
+constexpr Duration kRepeatTime = std::chrono::seconds(1);
+
+// The wait between a majority's knowing a fence and the new roster.
+Duration FenceWait() {
+  return std::chrono::duration_cast<Duration>(kFenceTime *
+                                              (1.0 + 2 * kClockDrift));
+}
+
+}  // namespace
+
+ShareIssuer::ShareIssuer(Options new_options)
+    : options(std::move(new_options)) {}
+
+std::vector<Record> ShareIssuer::Propose(const State& state,
+                                         const HeartbeatTable& heartbeats,
+                                         Instant now) {
+  std::vector<Record> records;
+  constexpr std::string_view kPrefix = "account/";
+  for (auto object = state.objects.lower_bound(kPrefix);
+       object != state.objects.end() && object->first.starts_with(kPrefix);
+       ++object) {
+    const std::string account(configuration::ObjectName(object->first));
+    AccountProgress& progress = this->progress_by_account[account];
+    if (progress.has_proposed && now - progress.proposed_at < kRepeatTime) {
+      // Still follows when the majority learnt of a fence.
+      const auto roster = state.rosters.find(account);
+      if (roster != state.rosters.end()) {
+        this->FencePassed(state, roster->second, progress, heartbeats, now);
+      }
+      continue;
+    }
+    auto record = this->ProposeFor(state, account, heartbeats, now);
+    if (record) {
+      progress.has_proposed = true;
+      progress.proposed_at = now;
+      records.push_back(std::move(*record));
+    }
+  }
+  return records;
+}
+
+std::optional<Record> ShareIssuer::ProposeFor(const State& state,
+                                              const std::string& account,
+                                              const HeartbeatTable& heartbeats,
+                                              Instant now) {
+  const auto found = state.rosters.find(account);
+  if (found != state.rosters.end()) {
+    const ShareRoster& roster = found->second;
+    if (roster.fenced == this->options.self) {
+      return FenceObjected{account, roster.epoch, this->options.self};
+    }
+  }
+  if (!this->IsResponsible(state, account)) {
+    return std::nullopt;
+  }
+  bool fence_passed = false;
+  if (found != state.rosters.end()) {
+    AccountProgress& progress = this->progress_by_account[account];
+    fence_passed =
+        this->FencePassed(state, found->second, progress, heartbeats, now);
+  }
+  auto roster = configuration::queries::PlanRoster(
+      state, account, this->options.is_live, fence_passed);
+  if (roster) {
+    return *roster;
+  }
+  if (found == state.rosters.end() || found->second.fenced) {
+    return std::nullopt;
+  }
+  for (const Share& share : found->second.shares) {
+    if (!share.released && !this->options.is_live(share.holder)) {
+      return ShareFenced{account, found->second.epoch, share.holder};
+    }
+  }
+  return std::nullopt;
+}
+
+bool ShareIssuer::IsResponsible(const State& state,
+                                const std::string& account) const {
+  std::vector<routing::Candidate> candidates;
+  const auto roster = state.rosters.find(account);
+  if (roster != state.rosters.end()) {
+    for (const Share& share : roster->second.shares) {
+      if (this->options.is_live(share.holder)) {
+        candidates.push_back({share.holder, {}});
+      }
+    }
+  }
+  if (candidates.empty()) {
+    for (const auto& [id, member] : state.members) {
+      if (this->options.is_live(member.daemon)) {
+        candidates.push_back({member.daemon, {}});
+      }
+    }
+  }
+  const auto ranked =
+      routing::RankAcrossDataCentres(account, std::move(candidates));
+  return !ranked.empty() && ranked.front() == this->options.self;
+}
+
+bool ShareIssuer::FencePassed(const State& state, const ShareRoster& roster,
+                              AccountProgress& progress,
+                              const HeartbeatTable& heartbeats,
+                              Instant now) const {
+  if (!roster.fenced) {
+    progress.majority_knew_at.reset();
+    return false;
+  }
+  const bool is_other_fence =
+      progress.epoch != roster.epoch || progress.fenced_at != roster.fenced_at;
+  if (is_other_fence) {
+    progress.epoch = roster.epoch;
+    progress.fenced_at = roster.fenced_at;
+    progress.majority_knew_at.reset();
+  }
+  if (!progress.majority_knew_at &&
+      MajorityKnowsFence(roster, this->options.self, state.next, heartbeats)) {
+    progress.majority_knew_at = now;
+  }
+  return progress.majority_knew_at &&
+         now - *progress.majority_knew_at >= FenceWait();
+}
+
+}  // namespace lycheewell::core::rate
--- /dev/null
+++ b/packages/core/src/rate/token_bucket.cpp
@@ -0,0 +1,126 @@
+#include "lycheewell/core/rate/token_bucket.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lycheewell::core::rate {
+namespace {
+
+constexpr double kNanosecondsPerSecond = 1e9;
+
+// Time for which the lender keeps the room of a loan.
+Duration ReservationTime() {
+  return std::chrono::duration_cast<Duration>(kLoanLifetime *
+                                              (1.0 + 2 * kClockDrift));
+}
+
+}  // namespace
+
+TokenBucket::TokenBucket(const Options& options, Instant now)
+    : rate_per_second(options.rate_per_second),
+      largest_level(options.capacity),
+      current_level(std::min(options.level, options.capacity)),
+      refilled_at(now) {}
+
+MicroTokens TokenBucket::Take(MicroTokens amount, MicroTokens least,
+                              Instant now) {
+  this->Refill(now);
+  const MicroTokens taken = std::min(amount, this->current_level);
+  if (taken < least || taken <= 0) {
+    return 0;
+  }
+  this->current_level -= taken;
+  return taken;
+}
+
+MicroTokens TokenBucket::Lend(std::uint64_t loan_id, MicroTokens amount,
+                              MicroTokens keep, Instant now) {
+  this->Refill(now);
+  if (this->loans.contains(loan_id)) {
+    return 0;
+  }
+  const MicroTokens available = this->current_level - keep;
+  const MicroTokens taken = std::min(amount, available);
+  if (taken <= 0) {
+    return 0;
+  }
+  this->current_level -= taken;
+  this->loans[loan_id] = {.lent = taken,
+                          .reserved_until = now + ReservationTime()};
+  this->total_lent += taken;
+  return taken;
+}
+
+void TokenBucket::SettleLoan(std::uint64_t loan_id, MicroTokens spent,
+                             MicroTokens returned, Instant now) {
+  this->Refill(now);
+  const auto found = this->loans.find(loan_id);
+  if (found == this->loans.end()) {
+    return;
+  }
+  Loan& loan = found->second;
+  if (spent < 0 || returned < 0 || spent + returned > loan.lent) {
+    return;
+  }
+  const MicroTokens newly_spent = std::max<MicroTokens>(0, spent - loan.spent);
+  const MicroTokens newly_returned =
+      std::max<MicroTokens>(0, returned - loan.returned);
+  loan.spent += newly_spent;
+  loan.returned += newly_returned;
+  this->total_lent -= newly_spent + newly_returned;
+  const MicroTokens room = std::max<MicroTokens>(
+      0, this->largest_level - this->total_lent - this->current_level);
+  this->current_level += std::min(newly_returned, room);
+  if (loan.spent + loan.returned >= loan.lent) {
+    this->loans.erase(found);
+  }
+}
+
+void TokenBucket::Resize(double new_rate_per_second, MicroTokens new_capacity,
+                         Instant now) {
+  this->Refill(now);
+  this->rate_per_second = new_rate_per_second;
+  this->largest_level = new_capacity;
+  const MicroTokens room =
+      std::max<MicroTokens>(0, new_capacity - this->total_lent);
+  this->current_level = std::min(this->current_level, room);
+}
+
+void TokenBucket::Refill(Instant now) {
+  if (now <= this->refilled_at) {
+    return;
+  }
+  const double seconds =
+      static_cast<double>((now - this->refilled_at).count()) /
+      kNanosecondsPerSecond;
+  const double wanted = std::floor(seconds * this->rate_per_second *
+                                   static_cast<double>(kOneToken));
+  const MicroTokens room = std::max<MicroTokens>(
+      0, this->largest_level - this->total_lent - this->current_level);
+  if (wanted >= static_cast<double>(room)) {
+    this->current_level += room;
+    this->refilled_at = now;
+  } else if (wanted >= 1) {
+    this->current_level += static_cast<MicroTokens>(wanted);
+    // Advances by the time that `wanted` tokens take, so that fractions add up.
+    const double used =
+        wanted * kNanosecondsPerSecond /
+        (this->rate_per_second * static_cast<double>(kOneToken));
+    this->refilled_at += Duration(static_cast<Duration::rep>(std::ceil(used)));
+  }
+  this->ExpireLoans(now);
+}
+
+void TokenBucket::ExpireLoans(Instant now) {
+  for (auto loan = this->loans.begin(); loan != this->loans.end();) {
+    if (loan->second.reserved_until > now) {
+      ++loan;
+      continue;
+    }
+    const Loan& expired = loan->second;
+    this->total_lent -= expired.lent - expired.spent - expired.returned;
+    loan = this->loans.erase(loan);
+  }
+}
+
+}  // namespace lycheewell::core::rate
--- /dev/null
+++ b/packages/core/src/types.cpp
@@ -0,0 +1,26 @@
+#include "lycheewell/core/types.h"
+
+#include <array>
+
+namespace lycheewell::core {
+namespace {
+
+constexpr std::array<std::string_view, kImportanceLevels> kNames = {
+    "low", "normal", "high", "critical"};
+
+}  // namespace
+
+std::string_view ImportanceName(Importance importance) {
+  return kNames.at(static_cast<std::size_t>(importance));
+}
+
+std::optional<Importance> ParseImportance(std::string_view name) {
+  for (std::size_t level = 0; level < kNames.size(); ++level) {
+    if (kNames[level] == name) {
+      return static_cast<Importance>(level);
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace lycheewell::core
--- /dev/null
+++ b/packages/platform/include/lycheewell/platform/http/server.h
@@ -0,0 +1,65 @@
+// HTTP/1.1 server: keep-alive, pipelining, size limits, slow callers, callers
+// that go away, and a graceful stop.
+#ifndef LYCHEEWELL_PLATFORM_HTTP_SERVER_H_
+#define LYCHEEWELL_PLATFORM_HTTP_SERVER_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "lycheewell/platform/async/cancellation.h"
+#include "lycheewell/platform/http/message.h"
+
+namespace lycheewell::platform::http {
+
+// Answers one request. `cancellation` fires when the caller goes away. Without
+// an answer the connection is closed.
+using Handler = std::function<boost::asio::awaitable<std::optional<Response>>(
+    Request request, async::CancellationPointer cancellation)>;
+
+struct ServerOptions {
+  std::string address;  // "host:port"; port 0 picks a free one
+  std::size_t body_limit = 1024 * 1024;
+  std::size_t header_limit = 16 * 1024;
+  // A caller must deliver a whole request within this time of its first byte,
+  // and take an answer within it.
+  std::chrono::steady_clock::duration transfer_timeout =
+      std::chrono::seconds(30);
+  std::chrono::steady_clock::duration idle_timeout = std::chrono::seconds(75);
+  // Told of each request that could not be parsed, with the reason.
+  std::function<void(std::string_view reason)> on_bad_request;
+};
+
+class Server {
+ public:
+  // Binds at once; throws boost::system::system_error when it cannot.
+  Server(boost::asio::io_context& context, ServerOptions options,
+         Handler handler);
+  ~Server();
+
+  // Commands.
+
+  void Start();
+
+  // Stops accepting, lets running requests finish with "Connection: close",
+  // and closes idle connections.
+  void BeginStop();
+
+  // Queries.
+
+  std::uint16_t port() const;
+  std::size_t connection_count() const;
+
+ private:
+  class Shared;
+  std::shared_ptr<Shared> shared;
+};
+
+}  // namespace lycheewell::platform::http
+
+#endif  // LYCHEEWELL_PLATFORM_HTTP_SERVER_H_
--- /dev/null
+++ b/packages/platform/include/lycheewell/platform/log/http_log.h
@@ -0,0 +1,26 @@
+// The log over HTTP:
+//   POST /records                        body: the record; 201 {"offset": N}
+//   GET  /records?from=&limit=&wait_ms=  200 {"first": F, "end": E,
+//                                             "from": N, "records": [...]}
+#ifndef LYCHEEWELL_PLATFORM_LOG_HTTP_LOG_H_
+#define LYCHEEWELL_PLATFORM_LOG_HTTP_LOG_H_
+
+#include <memory>
+#include <string>
+
+#include "lycheewell/platform/http/client.h"
+#include "lycheewell/platform/log/log_service.h"
+
+namespace lycheewell::platform::log {
+
+struct HttpLogOptions {
+  std::string address;  // "host:port"
+  std::chrono::milliseconds timeout = std::chrono::milliseconds(2000);
+};
+
+LogService MakeHttpLog(std::shared_ptr<http::Client> client,
+                       HttpLogOptions options);
+
+}  // namespace lycheewell::platform::log
+
+#endif  // LYCHEEWELL_PLATFORM_LOG_HTTP_LOG_H_
