--- a/packages/core/include/lycheewell/core/configuration/queries/shares.h
+++ b/packages/core/include/lycheewell/core/configuration/queries/shares.h
@@ -28,11 +28,12 @@
 std::string FindRosterProblem(const State& state, const RosterWritten& record);
 
 // The roster record that `account` needs now: a first roster, or free shares
-// given to members for which `is_live` holds. Fenced shares are left out unless
-// `fence_passed`. Empty when there is nothing to write.
+// given to members for which `takes_shares` holds. Fenced shares are left out
+// unless `fence_passed`. Empty when there is nothing to write.
 std::optional<RosterWritten> PlanRoster(
     const State& state, const std::string& account,
-    const std::function<bool(const DaemonRef&)>& is_live, bool fence_passed);
+    const std::function<bool(const DaemonRef&)>& takes_shares,
+    bool fence_passed);
 
 }  // namespace lycheewell::core::configuration::queries
 
--- a/packages/core/include/lycheewell/core/rate/share_issuer.h
+++ b/packages/core/include/lycheewell/core/rate/share_issuer.h
@@ -18,7 +18,9 @@
   struct Options {
     DaemonRef self;
     // Whether a daemon is believed to be running, by the gossip membership.
-    std::function<bool(const DaemonRef&)> is_live;
+    std::function<bool(const DaemonRef&)> is_running;
+    // Whether a running daemon may be given shares: it is not leaving.
+    std::function<bool(const DaemonRef&)> takes_shares;
   };
 
   explicit ShareIssuer(Options options);
--- a/packages/core/src/configuration/queries/shares.cpp
+++ b/packages/core/src/configuration/queries/shares.cpp
@@ -37,10 +37,10 @@
 // Live members in the order in which they should hold shares of `account`.
 std::vector<DaemonRef> PreferredHolders(
     const State& state, const std::string& account,
-    const std::function<bool(const DaemonRef&)>& is_live) {
+    const std::function<bool(const DaemonRef&)>& takes_shares) {
   std::vector<routing::Candidate> candidates;
   for (const auto& [id, member] : state.members) {
-    if (is_live(member.daemon) && !IsRetired(state, member.daemon)) {
+    if (takes_shares(member.daemon) && !IsRetired(state, member.daemon)) {
       candidates.push_back({member.daemon, member.data_centre});
     }
   }
@@ -110,10 +110,11 @@
 
 std::optional<RosterWritten> PlanRoster(
     const State& state, const std::string& account,
-    const std::function<bool(const DaemonRef&)>& is_live, bool fence_passed) {
+    const std::function<bool(const DaemonRef&)>& takes_shares,
+    bool fence_passed) {
   const auto object = state.objects.find(AccountObject(account));
   const std::vector<DaemonRef> preferred =
-      PreferredHolders(state, account, is_live);
+      PreferredHolders(state, account, takes_shares);
   if (object == state.objects.end() || preferred.empty()) {
     return std::nullopt;
   }
--- a/packages/core/src/rate/share_issuer.cpp
+++ b/packages/core/src/rate/share_issuer.cpp
@@ -78,7 +78,7 @@
         this->FencePassed(state, found->second, progress, heartbeats, now);
   }
   auto roster = configuration::queries::PlanRoster(
-      state, account, this->options.is_live, fence_passed);
+      state, account, this->options.takes_shares, fence_passed);
   if (roster) {
     return *roster;
   }
@@ -86,7 +86,7 @@
     return std::nullopt;
   }
   for (const Share& share : found->second.shares) {
-    if (!share.released && !this->options.is_live(share.holder)) {
+    if (!share.released && !this->options.is_running(share.holder)) {
       return ShareFenced{account, found->second.epoch, share.holder};
     }
   }
@@ -99,14 +99,14 @@
   const auto roster = state.rosters.find(account);
   if (roster != state.rosters.end()) {
     for (const Share& share : roster->second.shares) {
-      if (this->options.is_live(share.holder)) {
+      if (this->options.is_running(share.holder)) {
         candidates.push_back({share.holder, {}});
       }
     }
   }
   if (candidates.empty()) {
     for (const auto& [id, member] : state.members) {
-      if (this->options.is_live(member.daemon)) {
+      if (this->options.is_running(member.daemon)) {
         candidates.push_back({member.daemon, {}});
       }
     }
--- /dev/null
+++ b/packages/daemon/include/lycheewell/daemon/events/event_catalogue.h
@@ -0,0 +1,74 @@
+// The numbered events that a daemon logs. docs/EVENTS.md explains each.
+#ifndef LYCHEEWELL_DAEMON_EVENTS_EVENT_CATALOGUE_H_
+#define LYCHEEWELL_DAEMON_EVENTS_EVENT_CATALOGUE_H_
+
+#include <string_view>
+#include <vector>
+
+namespace lycheewell::daemon::events {
+
+enum class Level { kDebug, kInfo, kWarn, kError };
+
+// Numbers never change their meaning. 1xxx: the process, 2xxx: requests, 3xxx:
+// configuration, 4xxx: membership, 5xxx: rate shares, 6xxx: attempts, 7xxx:
+// targets, 8xxx: operators.
+enum class Event : int {
+  kStarted = 1001,
+  kReady = 1002,
+  kDrainBegun = 1003,
+  kStopped = 1004,
+  kBadHttpRequest = 1005,
+  kBadPeerMessage = 1006,
+
+  kRequestRouted = 2001,
+  kRequestRefused = 2002,
+  kRequestRetried = 2003,
+  kRequestAnswered = 2004,
+  kRequestShed = 2005,
+  kContextRefused = 2006,
+  kRequestReplayed = 2007,
+
+  kLogUnreachable = 3001,
+  kLogReachable = 3002,
+  kRecordApplied = 3003,
+  kRecordRejected = 3004,
+  kRecordUnreadable = 3005,
+  kSnapshotWritten = 3006,
+  kSnapshotMismatch = 3007,
+  kSnapshotAdopted = 3008,
+  kRecordsMissing = 3009,
+
+  kMemberHealthChanged = 4001,
+  kMemberEvicted = 4002,
+
+  kShareRecordProposed = 5001,
+
+  kPartitionImported = 6001,
+  kAttemptUnsure = 6002,
+
+  kTargetAnnounced = 7001,
+  kTargetCrashed = 7002,
+  kTargetDraining = 7003,
+  kRequestQuarantined = 7004,
+
+  kPlanMade = 8001,
+  kChangeConfirmed = 8002,
+  kOperatorRefused = 8003,
+};
+
+struct CatalogueEntry {
+  Event event;
+  Level level;
+  std::string_view name;
+};
+
+// All events in the order of their numbers.
+const std::vector<CatalogueEntry>& Catalogue();
+
+const CatalogueEntry& FindEntry(Event event);
+
+std::string_view LevelName(Level level);
+
+}  // namespace lycheewell::daemon::events
+
+#endif  // LYCHEEWELL_DAEMON_EVENTS_EVENT_CATALOGUE_H_
--- /dev/null
+++ b/packages/daemon/src/events/event_catalogue.cpp
@@ -0,0 +1,68 @@
+#include "lycheewell/daemon/events/event_catalogue.h"
+
+#include <algorithm>
+
+namespace lycheewell::daemon::events {
+
+const std::vector<CatalogueEntry>& Catalogue() {
+  static const std::vector<CatalogueEntry> kEntries = {
+      {Event::kStarted, Level::kInfo, "daemon-started"},
+      {Event::kReady, Level::kInfo, "daemon-ready"},
+      {Event::kDrainBegun, Level::kInfo, "drain-begun"},
+      {Event::kStopped, Level::kInfo, "daemon-stopped"},
+      {Event::kBadHttpRequest, Level::kWarn, "bad-http-request"},
+      {Event::kBadPeerMessage, Level::kWarn, "bad-peer-message"},
+      {Event::kRequestRouted, Level::kInfo, "request-routed"},
+      {Event::kRequestRefused, Level::kInfo, "request-refused"},
+      {Event::kRequestRetried, Level::kInfo, "request-retried"},
+      {Event::kRequestAnswered, Level::kDebug, "request-answered"},
+      {Event::kRequestShed, Level::kInfo, "request-shed"},
+      {Event::kContextRefused, Level::kWarn, "context-refused"},
+      {Event::kRequestReplayed, Level::kInfo, "request-replayed"},
+      {Event::kLogUnreachable, Level::kWarn, "log-unreachable"},
+      {Event::kLogReachable, Level::kInfo, "log-reachable"},
+      {Event::kRecordApplied, Level::kInfo, "record-applied"},
+      {Event::kRecordRejected, Level::kInfo, "record-rejected"},
+      {Event::kRecordUnreadable, Level::kError, "record-unreadable"},
+      {Event::kSnapshotWritten, Level::kInfo, "snapshot-written"},
+      {Event::kSnapshotMismatch, Level::kError, "snapshot-mismatch"},
+      {Event::kSnapshotAdopted, Level::kInfo, "snapshot-adopted"},
+      {Event::kRecordsMissing, Level::kWarn, "records-missing"},
+      {Event::kMemberHealthChanged, Level::kInfo, "member-health-changed"},
+      {Event::kMemberEvicted, Level::kWarn, "member-evicted"},
+      {Event::kShareRecordProposed, Level::kInfo, "share-record-proposed"},
+      {Event::kPartitionImported, Level::kDebug, "partitions-imported"},
+      {Event::kAttemptUnsure, Level::kWarn, "attempt-unsure"},
+      {Event::kTargetAnnounced, Level::kInfo, "target-announced"},
+      {Event::kTargetCrashed, Level::kError, "target-crashed"},
+      {Event::kTargetDraining, Level::kInfo, "target-draining"},
+      {Event::kRequestQuarantined, Level::kWarn, "request-quarantined"},
+      {Event::kPlanMade, Level::kInfo, "plan-made"},
+      {Event::kChangeConfirmed, Level::kInfo, "change-confirmed"},
+      {Event::kOperatorRefused, Level::kWarn, "operator-refused"},
+  };
+  return kEntries;
+}
+
+const CatalogueEntry& FindEntry(Event event) {
+  const auto& entries = Catalogue();
+  return *std::find_if(
+      entries.begin(), entries.end(),
+      [&](const CatalogueEntry& entry) { return entry.event == event; });
+}
+
+std::string_view LevelName(Level level) {
+  switch (level) {
+    case Level::kDebug:
+      return "debug";
+    case Level::kInfo:
+      return "info";
+    case Level::kWarn:
+      return "warn";
+    case Level::kError:
+      return "error";
+  }
+  return "error";
+}
+
+}  // namespace lycheewell::daemon::events
--- a/packages/platform/include/lycheewell/platform/http/client.h
+++ b/packages/platform/include/lycheewell/platform/http/client.h
@@ -48,9 +48,13 @@
  public:
   explicit Client(boost::asio::io_context& context);
 
-  // Sends `request` and returns the whole answer.
-  boost::asio::awaitable<ExchangeResult> Exchange(Request request,
-                                                  ExchangeOptions options);
+  // Sends `request` and returns the whole answer. `options` must live until
+  // then.
+  boost::asio::awaitable<ExchangeResult> Exchange(
+      Request request, const ExchangeOptions& options);
+
+  // Closes the connections that are not in use.
+  void CloseIdle();
 
   // Whether a new connection to `address` can be made.
   boost::asio::awaitable<bool> CanConnect(std::string address);
--- a/packages/platform/src/http/client.cpp
+++ b/packages/platform/src/http/client.cpp
@@ -135,8 +135,8 @@
 
 }  // namespace
 
-asio::awaitable<ExchangeResult> Client::Exchange(Request request,
-                                                 ExchangeOptions options) {
+asio::awaitable<ExchangeResult> Client::Exchange(
+    Request request, const ExchangeOptions& options) {
   const auto endpoint = TryParseEndpoint(options.address);
   if (!endpoint) {
     co_return ExchangeError{ExchangeErrorKind::kNotConnected,
@@ -175,6 +175,11 @@
   co_return result;
 }
 
+void Client::CloseIdle() {
+  const std::lock_guard lock(this->mutex);
+  this->idle.clear();
+}
+
 asio::awaitable<bool> Client::CanConnect(std::string address) {
   const auto endpoint = TryParseEndpoint(address);
   if (!endpoint) {
--- a/packages/platform/src/log/http_log.cpp
+++ b/packages/platform/src/log/http_log.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+using OptionsPointer = std::shared_ptr<const HttpLogOptions>;
+
 constexpr unsigned kHttpVersion = 11;
 
 std::uint64_t ReadOffset(const json::object& object, std::string_view field) {
@@ -46,7 +48,7 @@
 }
 
 asio::awaitable<ReadResult> Read(std::shared_ptr<http::Client> client,
-                                 HttpLogOptions options, std::uint64_t from,
+                                 OptionsPointer options, std::uint64_t from,
                                  std::size_t limit,
                                  std::chrono::milliseconds wait) {
   const std::string target = "/records?from=" + std::to_string(from) +
@@ -54,10 +56,10 @@
                              "&wait_ms=" + std::to_string(wait.count());
   http::Request request{http::Verb::get, target, kHttpVersion};
   constexpr std::size_t kLargestBatch = 64 * 1024 * 1024;
-  auto result = co_await client->Exchange(std::move(request),
-                                          {.address = options.address,
-                                           .timeout = options.timeout + wait,
-                                           .body_limit = kLargestBatch});
+  const http::ExchangeOptions exchange{.address = options->address,
+                                       .timeout = options->timeout + wait,
+                                       .body_limit = kLargestBatch};
+  auto result = co_await client->Exchange(std::move(request), exchange);
   if (const auto* error = std::get_if<http::ExchangeError>(&result)) {
     co_return TurnError(*error);
   }
@@ -70,12 +72,12 @@
 }
 
 asio::awaitable<AppendResult> Append(std::shared_ptr<http::Client> client,
-                                     HttpLogOptions options, std::string body) {
+                                     OptionsPointer options, std::string body) {
   http::Request request{http::Verb::post, "/records", kHttpVersion};
   request.set(http::Field::content_type, "application/json");
   request.body() = std::move(body);
-  const http::ExchangeOptions exchange{.address = options.address,
-                                       .timeout = options.timeout};
+  const http::ExchangeOptions exchange{.address = options->address,
+                                       .timeout = options->timeout};
   auto result = co_await client->Exchange(std::move(request), exchange);
   if (const auto* error = std::get_if<http::ExchangeError>(&result)) {
     co_return TurnError(*error);
@@ -91,7 +93,9 @@
 }  // namespace
 
 LogService MakeHttpLog(std::shared_ptr<http::Client> client,
-                       HttpLogOptions options) {
+                       HttpLogOptions new_options) {
+  const auto options =
+      std::make_shared<const HttpLogOptions>(std::move(new_options));
   return {.read =
               [client, options](std::uint64_t from, std::size_t limit,
                                 std::chrono::milliseconds wait) {
