Hand shares over with their tokens, and tell slow requests from queues

Cause of the refusals in the demonstration's drain (104 of 260): 98 were sheds, since the limit took latency above its floor for a queue, and slow requests after quick ones shrank it to 1; 6 were 429, since a share that changed hands stood still for 510 ms. Ruled out: the drain itself (no request was cut), the admission queue. Change: a decrease of the limit is a trial: where latency does not fall with it, the limit goes back and the floor rises to the present latency. A release record carries the share's tokens and lent amount, so that its next holder starts at once with the same bound.

--- a/packages/core/include/lycheewell/core/configuration/objects.h
+++ b/packages/core/include/lycheewell/core/configuration/objects.h
@@ -89,6 +89,13 @@
   DaemonRef holder;
   bool released = false;  // the holder said that it no longer uses the share
 
+  // What the share's last holder left behind when it released it, in millionths
+  // of a token: tokens for the next holder, and tokens lent to others that may
+  // still be spent. Unknown unless `handed_over`.
+  bool handed_over = false;
+  std::int64_t level = 0;
+  std::int64_t lent = 0;
+
   bool operator==(const Share&) const = default;
 };
 
--- a/packages/core/include/lycheewell/core/configuration/record.h
+++ b/packages/core/include/lycheewell/core/configuration/record.h
@@ -88,12 +88,15 @@
   bool operator==(const FenceObjected&) const = default;
 };
 
-// The holder no longer uses the share at index `share` of the roster.
+// The holder no longer uses the share at index `share` of the roster, and
+// leaves `level` and `lent` millionths of a token behind (see Share).
 struct ShareReleased {
   std::string account;
   std::uint64_t epoch = 0;
   DaemonRef holder;
   std::uint64_t share = 0;
+  std::int64_t level = 0;
+  std::int64_t lent = 0;
 
   bool operator==(const ShareReleased&) const = default;
 };
--- a/packages/core/include/lycheewell/core/overload/concurrency_limit.h
+++ b/packages/core/include/lycheewell/core/overload/concurrency_limit.h
@@ -3,10 +3,16 @@
 #ifndef LYCHEEWELL_CORE_OVERLOAD_CONCURRENCY_LIMIT_H_
 #define LYCHEEWELL_CORE_OVERLOAD_CONCURRENCY_LIMIT_H_
 
+#include <optional>
+
 #include "lycheewell/core/types.h"
 
 namespace lycheewell::core::overload {
 
+// Latency well above its floor at a full limit may come from requests that
+// queue inside the target, or from requests that are slow in themselves. The
+// limit finds out: it shrinks, and where latency does not fall with it, it goes
+// back and takes the present latency as the floor.
 class ConcurrencyLimit {
  public:
   struct Options {
@@ -29,18 +35,33 @@
   // Queries.
 
   int limit() const;
-  Duration typical_latency() const { return this->short_average; }
+  Duration typical_latency() const;
 
  private:
+  // A decrease whose effect on latency is not known yet.
+  struct Trial {
+    double limit_before = 0;
+    double latency_before = 0;  // nanoseconds
+  };
+
+  // What was observed since the last adjustment.
+  struct Window {
+    double latency_sum = 0;  // nanoseconds
+    int completions = 0;
+    int refusals = 0;
+    int largest_running = 0;
+  };
+
   void Adjust(Instant now);
+  void JudgeTrial(double latency);
+  void Change(double latency);
 
   Options options;
   double current;
-  Duration floor{};          // latency with little load
-  Duration short_average{};  // over about the last 20 completions
-  int largest_running = 0;   // since the last adjustment
-  int completions = 0;       // since the last adjustment
-  bool was_refused = false;  // since the last adjustment
+  double floor = 0;    // latency with little load, nanoseconds
+  double typical = 0;  // mean of the last window, nanoseconds
+  Window window;
+  std::optional<Trial> trial;
   Instant adjusted_at;
 };
 
--- a/packages/core/include/lycheewell/core/rate/account_limiter.h
+++ b/packages/core/include/lycheewell/core/rate/account_limiter.h
@@ -4,10 +4,11 @@
 #define LYCHEEWELL_CORE_RATE_ACCOUNT_LIMITER_H_
 
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
-#include "lycheewell/core/configuration/objects.h"
+#include "lycheewell/core/configuration/record.h"
 #include "lycheewell/core/rate/share_lease.h"
 #include "lycheewell/core/rate/token_bucket.h"
 #include "lycheewell/core/rate/token_purse.h"
@@ -43,8 +44,9 @@
   void Configure(const configuration::Account& account,
                  const configuration::ShareRoster& roster, Instant now);
 
-  // Stops the use of one share, or of all, before its release is appended.
-  void StopUsingShares(std::size_t count, Instant now);
+  // Stops the use of one more share and returns its release record, to be
+  // appended. Empty when this daemon uses none.
+  std::optional<configuration::ShareReleased> ReleaseShare(Instant now);
 
   // Takes one token from the own share or the purse. False: none at hand.
   bool TryAdmit(const HeartbeatTable& heartbeats, Instant now);
@@ -80,8 +82,9 @@
   Options options;
   configuration::Account limits;
   configuration::ShareRoster shares;
-  std::size_t stopped_shares = 0;
-  // Shares that another daemon held before; in use from `new_shares_start_at`.
+  std::set<std::size_t> stopped_shares;  // by index in the roster
+  // Shares whose last holder may have loans out; in use from
+  // `new_shares_start_at`.
   std::size_t new_shares = 0;
   Instant new_shares_start_at;
   TokenBucket bucket;
--- a/packages/core/include/lycheewell/core/rate/token_bucket.h
+++ b/packages/core/include/lycheewell/core/rate/token_bucket.h
@@ -48,6 +48,10 @@
   void SettleLoan(std::uint64_t loan_id, MicroTokens spent,
                   MicroTokens returned, Instant now);
 
+  // Takes over `level` tokens and `lent` foreign loans from a share's last
+  // holder. Foreign loans keep their room for a loan's lifetime.
+  void TakeOver(MicroTokens level, MicroTokens lent, Instant now);
+
   // Changes rate and capacity; the level is cut to the new capacity.
   void Resize(double rate_per_second, MicroTokens capacity, Instant now);
 
--- a/packages/core/src/configuration/commands/apply_record.cpp
+++ b/packages/core/src/configuration/commands/apply_record.cpp
@@ -160,8 +160,16 @@
       return Rejected(problem);
     }
     ShareRoster roster{.epoch = record.previous_epoch + 1};
-    for (const DaemonRef& holder : record.holders) {
-      roster.shares.push_back({.holder = holder});
+    const auto former = this->state.rosters.find(record.account);
+    for (std::size_t index = 0; index < record.holders.size(); ++index) {
+      Share share{.holder = record.holders[index]};
+      if (former != this->state.rosters.end()) {
+        const Share& left = former->second.shares[index];
+        share.handed_over = left.released && left.handed_over;
+        share.level = share.handed_over ? left.level : 0;
+        share.lent = share.handed_over ? left.lent : 0;
+      }
+      roster.shares.push_back(share);
     }
     this->state.rosters[record.account] = std::move(roster);
     return {FoldOutcome::kApplied, "roster of " + record.account};
@@ -191,10 +199,16 @@
   FoldResult operator()(const ShareReleased& record) const {
     ShareRoster* roster = this->FindRoster(record.account, record.epoch);
     if (roster == nullptr || record.share >= roster->shares.size() ||
-        roster->shares[record.share].holder != record.holder) {
+        roster->shares[record.share].holder != record.holder ||
+        roster->shares[record.share].released || record.level < 0 ||
+        record.lent < 0) {
       return {FoldOutcome::kIgnored, "release does not apply"};
     }
-    roster->shares[record.share].released = true;
+    roster->shares[record.share] = {.holder = record.holder,
+                                    .released = true,
+                                    .handed_over = true,
+                                    .level = record.level,
+                                    .lent = record.lent};
     return {FoldOutcome::kApplied, record.holder.id + " released a share"};
   }
 
--- a/packages/core/src/configuration/json_codec.cpp
+++ b/packages/core/src/configuration/json_codec.cpp
@@ -159,7 +159,10 @@
   json::array shares;
   for (const Share& share : roster.shares) {
     shares.push_back(json::object{{"holder", ToJson(share.holder)},
-                                  {"released", share.released}});
+                                  {"released", share.released},
+                                  {"handed_over", share.handed_over},
+                                  {"level", share.level},
+                                  {"lent", share.lent}});
   }
   json::object object{{"epoch", roster.epoch}, {"shares", std::move(shares)}};
   if (roster.fenced) {
@@ -214,7 +217,10 @@
   for (const json::value& share : ReadArray(object, "shares")) {
     roster.shares.push_back(
         {.holder = ReadDaemonRef(ReadObject(share.as_object(), "holder")),
-         .released = ReadBool(share.as_object(), "released")});
+         .released = ReadBool(share.as_object(), "released"),
+         .handed_over = ReadBool(share.as_object(), "handed_over"),
+         .level = ReadInteger(share.as_object(), "level"),
+         .lent = ReadInteger(share.as_object(), "lent")});
   }
   if (object.contains("fenced")) {
     roster.fenced = ReadDaemonRef(ReadObject(object, "fenced"));
--- a/packages/core/src/configuration/record.cpp
+++ b/packages/core/src/configuration/record.cpp
@@ -85,6 +85,8 @@
     json::object object = ShareHeader("share-released", record.account,
                                       record.epoch, record.holder);
     object["share"] = record.share;
+    object["level"] = record.level;
+    object["lent"] = record.lent;
     return object;
   }
 
@@ -166,6 +168,8 @@
   if (type == "share-released") {
     auto record = DecodeShareRecord<ShareReleased>(object);
     record.share = ReadUnsigned(object, "share");
+    record.level = ReadInteger(object, "level");
+    record.lent = ReadInteger(object, "lent");
     return record;
   }
   if (type == "snapshot-written") {
--- a/packages/core/src/rate/account_limiter.cpp
+++ b/packages/core/src/rate/account_limiter.cpp
@@ -41,26 +41,66 @@
                                const configuration::ShareRoster& roster,
                                Instant now) {
   using configuration::queries::CountShares;
-  const std::size_t held_before = CountShares(this->shares, this->options.self);
-  const std::size_t held = CountShares(roster, this->options.self);
   const bool is_first = roster.epoch == 1 && this->shares.epoch == 0;
-  if (roster.epoch != this->shares.epoch) {
-    this->stopped_shares = 0;
-    const std::size_t kept = is_first ? held : std::min(held, held_before);
-    this->new_shares = held - kept;
-    this->new_shares_start_at = now + kNewShareDelay;
-  }
+  const configuration::ShareRoster former = std::move(this->shares);
   this->limits = account;
   this->shares = roster;
+  if (roster.epoch != former.epoch) {
+    this->stopped_shares.clear();
+    this->new_shares = 0;
+    this->new_shares_start_at = now + kNewShareDelay;
+    MicroTokens level = 0;
+    MicroTokens lent = 0;
+    for (std::size_t index = 0; index < roster.shares.size(); ++index) {
+      const configuration::Share& share = roster.shares[index];
+      const bool held_before = index < former.shares.size() &&
+                               former.shares[index].holder == share.holder &&
+                               !former.shares[index].released;
+      if (share.holder != this->options.self || held_before || is_first) {
+        continue;
+      }
+      level += share.level;
+      lent += share.lent;
+      this->new_shares += share.handed_over ? 0 : 1;
+    }
+    this->ResizeBucket(now);
+    this->bucket.TakeOver(level, lent, now);
+  }
   this->ResizeBucket(now);
   if (is_first) {
     this->bucket.Fill();
   }
 }
 
-void AccountLimiter::StopUsingShares(std::size_t count, Instant now) {
-  this->stopped_shares = std::max(this->stopped_shares, count);
-  this->ResizeBucket(now);
+std::optional<configuration::ShareReleased> AccountLimiter::ReleaseShare(
+    Instant now) {
+  for (std::size_t index = 0; index < this->shares.shares.size(); ++index) {
+    const configuration::Share& share = this->shares.shares[index];
+    const bool is_used = share.holder == this->options.self &&
+                         !share.released &&
+                         !this->stopped_shares.contains(index);
+    if (!is_used) {
+      continue;
+    }
+    this->bucket.Refill(now);
+    const MicroTokens capacity_before = this->bucket.capacity();
+    const MicroTokens level_before = this->bucket.level();
+    this->stopped_shares.insert(index);
+    this->ResizeBucket(now);
+    const MicroTokens share_capacity =
+        capacity_before - this->bucket.capacity();
+    const MicroTokens lent = std::min(this->bucket.lent(), share_capacity);
+    // Resizing has cut the level to what still fits; the rest goes along.
+    const MicroTokens cut = level_before - this->bucket.level();
+    return configuration::ShareReleased{
+        .account = this->options.account,
+        .epoch = this->shares.epoch,
+        .holder = this->options.self,
+        .share = index,
+        .level = std::min(cut, share_capacity - lent),
+        .lent = lent};
+  }
+  return std::nullopt;
 }
 
 void AccountLimiter::StartNewShares(Instant now) {
@@ -75,7 +115,13 @@
   if (now >= this->new_shares_start_at) {
     this->new_shares = 0;
   }
-  const std::size_t unused = this->stopped_shares + this->new_shares;
+  const auto stopped =
+      std::count_if(this->stopped_shares.begin(), this->stopped_shares.end(),
+                    [this](std::size_t index) {
+                      return !this->shares.shares[index].released;
+                    });
+  const std::size_t unused =
+      static_cast<std::size_t>(stopped) + this->new_shares;
   const std::size_t used = held - std::min(held, unused);
   const std::size_t total =
       std::max<std::size_t>(1, this->shares.shares.size());
--- a/packages/core/src/rate/token_bucket.cpp
+++ b/packages/core/src/rate/token_bucket.cpp
@@ -76,6 +76,20 @@
   }
 }
 
+void TokenBucket::TakeOver(MicroTokens level, MicroTokens lent, Instant now) {
+  this->Refill(now);
+  if (lent > 0) {
+    // Nobody settles this loan: its id stays below those that borrowers draw.
+    const std::uint64_t loan_id = this->loans.size();
+    this->loans[loan_id] = {.lent = lent,
+                            .reserved_until = now + ReservationTime()};
+    this->total_lent += lent;
+  }
+  const MicroTokens room = std::max<MicroTokens>(
+      0, this->largest_level - this->total_lent - this->current_level);
+  this->current_level += std::min(level, room);
+}
+
 void TokenBucket::Resize(double new_rate_per_second, MicroTokens new_capacity,
                          Instant now) {
   this->Refill(now);
--- a/packages/daemon/include/lycheewell/daemon/agreement/caretaker.h
+++ b/packages/daemon/include/lycheewell/daemon/agreement/caretaker.h
@@ -33,6 +33,8 @@
   boost::asio::awaitable<void> KeepMembership();
   boost::asio::awaitable<void> KeepRosters();
   boost::asio::awaitable<void> KeepShareBalance();
+  bool StopUsingShare(const std::string& account);
+  boost::asio::awaitable<void> AppendReleases();
   boost::asio::awaitable<void> EvictDead();
   boost::asio::awaitable<void> WriteSnapshot();
   boost::asio::awaitable<bool> WaitUntilFolded(core::Instant deadline,
@@ -46,6 +48,8 @@
   std::atomic<bool> stopping = false;
   std::atomic<bool> leaving = false;
   tables::Guarded<std::string> service;
+  // Releases that are not folded yet.
+  std::vector<core::configuration::ShareReleased> releases;
   core::Instant balanced_at;
   core::Instant joined_at;
   core::Offset snapshot_tried_at = 0;
--- a/packages/daemon/src/agreement/caretaker.cpp
+++ b/packages/daemon/src/agreement/caretaker.cpp
@@ -11,9 +11,7 @@
 namespace asio = boost::asio;
 namespace configuration = core::configuration;
 
-using configuration::Share;
 using configuration::ShareReleased;
-using configuration::ShareRoster;
 using core::membership::Health;
 
 namespace {
@@ -28,18 +26,6 @@
   co_await timer.async_wait(asio::use_awaitable);
 }
 
-std::vector<std::uint64_t> SharesOf(const ShareRoster& roster,
-                                    const core::DaemonRef& daemon) {
-  std::vector<std::uint64_t> indexes;
-  for (std::size_t index = 0; index < roster.shares.size(); ++index) {
-    const Share& share = roster.shares[index];
-    if (share.holder == daemon && !share.released) {
-      indexes.push_back(index);
-    }
-  }
-  return indexes;
-}
-
 }  // namespace
 
 Caretaker::Caretaker(Services& new_services, Follower& new_follower)
@@ -131,10 +117,15 @@
     co_return;
   }
   this->balanced_at = Now();
+  if (!this->releases.empty()) {
+    co_await this->AppendReleases();
+    co_return;
+  }
   const auto view = this->services.tables.configuration.view();
   for (const auto& [account, roster] : view->state().rosters) {
-    const auto own = SharesOf(roster, this->services.self);
-    if (own.size() < 2 || roster.fenced) {
+    const std::size_t own =
+        configuration::queries::CountShares(roster, this->services.self);
+    if (own < 2 || roster.fenced) {
       continue;
     }
     bool someone_has_none = false;
@@ -148,16 +139,38 @@
     if (!someone_has_none) {
       continue;
     }
-    {
-      auto limiters = this->services.tables.limiters.Lock();
-      const auto entry = limiters->by_account.find(account);
-      if (entry == limiters->by_account.end()) {
-        continue;
-      }
-      entry->second.limiter.StopUsingShares(1, Now());
-    }
-    configuration::Record record =
-        ShareReleased{account, roster.epoch, this->services.self, own.back()};
+    this->StopUsingShare(account);
+  }
+  co_await this->AppendReleases();
+}
+
+// Returns whether there was a share to stop using.
+bool Caretaker::StopUsingShare(const std::string& account) {
+  auto limiters = this->services.tables.limiters.Lock();
+  const auto entry = limiters->by_account.find(account);
+  if (entry == limiters->by_account.end()) {
+    return false;
+  }
+  auto release = entry->second.limiter.ReleaseShare(Now());
+  if (release) {
+    this->releases.push_back(std::move(*release));
+  }
+  return release.has_value();
+}
+
+// Appends every release that is not folded yet. An append may get lost, and a
+// repeated one has no effect.
+asio::awaitable<void> Caretaker::AppendReleases() {
+  const auto view = this->services.tables.configuration.view();
+  std::erase_if(this->releases, [&](const ShareReleased& release) {
+    const auto roster = view->state().rosters.find(release.account);
+    return roster == view->state().rosters.end() ||
+           roster->second.epoch != release.epoch ||
+           roster->second.shares[release.share].released;
+  });
+  const std::vector<ShareReleased> pending = this->releases;
+  for (const ShareReleased& release : pending) {
+    configuration::Record record = release;
     co_await this->follower.Append(std::move(record));
   }
 }
@@ -219,26 +232,10 @@
   this->leaving = true;
   const auto view = this->services.tables.configuration.view();
   for (const auto& [account, roster] : view->state().rosters) {
-    const auto own = SharesOf(roster, this->services.self);
-    if (own.empty()) {
-      continue;
-    }
-    {
-      auto limiters = this->services.tables.limiters.Lock();
-      const auto entry = limiters->by_account.find(account);
-      if (entry != limiters->by_account.end()) {
-        entry->second.limiter.StopUsingShares(roster.shares.size(), Now());
-      }
-    }
-    for (const std::uint64_t share : own) {
-      if (Now() >= deadline) {
-        co_return;
-      }
-      configuration::Record record =
-          ShareReleased{account, roster.epoch, this->services.self, share};
-      co_await this->follower.Append(std::move(record));
+    while (this->StopUsingShare(account)) {
     }
   }
+  co_await this->AppendReleases();
   if (Now() >= deadline) {
     co_return;
   }
