Know every attempt of a key, not only one

One that had imported an attempt that was never granted dropped the granted one that came after it, and forgot the key when the first was released. Ruled out (by the trace of all votes): group changes, late votes. Change: records by key and attempt id; ranking computes each score once.

--- a/packages/core/include/lycheewell/core/attempts/recorder.h
+++ b/packages/core/include/lycheewell/core/attempts/recorder.h
@@ -16,6 +16,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "lycheewell/core/configuration/state.h"
@@ -52,9 +53,9 @@
 
 std::uint32_t PartitionOf(const std::string& key);
 
-// The group of `partition` among the members in `state`. Where there are too few
-// members, those that left last fill it up: a group that became smaller could
-// reach a majority without the members that know a key.
+// The group of `partition` among the members in `state`. Where there are too
+// few members, those that left last fill it up: a group that became smaller
+// could reach a majority without the members that know a key.
 Group GroupOf(const configuration::State& state, std::uint32_t partition);
 
 // The whole answer of a finished attempt.
@@ -148,7 +149,7 @@
   std::optional<std::vector<KeyedRecord>> Export(std::uint32_t partition) const;
 
   const Group& group(std::uint32_t partition) const;
-  std::size_t record_count() const { return this->records.size(); }
+  std::size_t record_count() const { return this->attempt_count; }
 
  private:
   struct Entry {
@@ -156,7 +157,12 @@
     Instant expires_at;
   };
 
+  // Attempts of one key by attempt id. More than one is known where several
+  // were proposed at once and different members recorded different ones.
+  using KeyAttempts = std::map<std::string, Entry>;
+
   struct Partition {
+    std::unordered_map<std::string, KeyAttempts> records;  // by key
     Group group;
     bool vouches = false;
     // This daemon left the group, and vouched for the partition until then or
@@ -175,6 +181,8 @@
   void UpdateSettled(Partition& partition, const configuration::State& state,
                      Instant now);
   bool MayVouch(const Partition& partition, Instant now) const;
+  Entry& Store(Partition& partition, const std::string& key,
+               const AttemptRecord& record, Instant now);
   const GroupMember* FindSelf(const Group& group) const;
   static bool IsComplete(const Partition& partition) {
     return partition.vouches || partition.left_with_records;
@@ -182,7 +190,7 @@
 
   DaemonRef self;
   std::vector<Partition> partitions;
-  std::map<std::string, Entry> records;
+  std::size_t attempt_count = 0;
   bool is_first_member = false;
 };
 
--- a/packages/core/src/attempts/recorder.cpp
+++ b/packages/core/src/attempts/recorder.cpp
@@ -75,7 +75,9 @@
 
 void Recorder::ApplyJump(const configuration::State& state) {
   for (std::uint32_t index = 0; index < kPartitions; ++index) {
-    this->partitions[index] = Partition{.group = GroupOf(state, index)};
+    Partition& partition = this->partitions[index];
+    partition = Partition{.records = std::move(partition.records),
+                          .group = GroupOf(state, index)};
   }
 }
 
@@ -131,11 +133,19 @@
 }
 
 Vote Recorder::Record(const Proposal& proposal, Instant now) {
-  const Partition& partition = this->partitions[PartitionOf(proposal.key)];
-  const auto known = this->records.find(proposal.key);
-  if (known != this->records.end() &&
-      known->second.record.attempt_id != proposal.attempt_id) {
-    return {VoteKind::kKnown, known->second.record};
+  Partition& partition = this->partitions[PartitionOf(proposal.key)];
+  const auto known = partition.records.find(proposal.key);
+  if (known != partition.records.end()) {
+    const AttemptRecord* other = nullptr;
+    for (const auto& [attempt_id, entry] : known->second) {
+      const bool is_better = other == nullptr || entry.record.answer;
+      if (attempt_id != proposal.attempt_id && is_better) {
+        other = &entry.record;
+      }
+    }
+    if (other != nullptr) {
+      return {VoteKind::kKnown, *other};
+    }
   }
   if (partition.group != proposal.group ||
       this->FindSelf(partition.group) == nullptr) {
@@ -144,40 +154,57 @@
   if (!this->MayVouch(partition, now)) {
     return {VoteKind::kCannotVouch, std::nullopt};
   }
-  if (this->records.size() >= kMostRecords) {
+  if (this->attempt_count >= kMostRecords) {
     return {VoteKind::kFull, std::nullopt};
   }
-  Entry& entry = this->records[proposal.key];
-  entry.record.attempt_id = proposal.attempt_id;
-  entry.record.request_digest = proposal.request_digest;
-  entry.expires_at = now + kKeyLifetime;
+  this->Store(partition, proposal.key,
+              {.attempt_id = proposal.attempt_id,
+               .request_digest = proposal.request_digest},
+              now);
   return {VoteKind::kRecorded, std::nullopt};
 }
 
+Recorder::Entry& Recorder::Store(Partition& partition, const std::string& key,
+                                 const AttemptRecord& record, Instant now) {
+  const auto [stored, is_new] =
+      partition.records[key].try_emplace(record.attempt_id, Entry{record, now});
+  this->attempt_count += is_new ? 1 : 0;
+  Entry& entry = stored->second;
+  if (record.answer && !entry.record.answer) {
+    entry.record = record;
+  }
+  entry.expires_at = now + kKeyLifetime;
+  return entry;
+}
+
 void Recorder::Release(const std::string& key, const std::string& attempt_id) {
-  const auto found = this->records.find(key);
-  if (found != this->records.end() &&
-      found->second.record.attempt_id == attempt_id &&
-      !found->second.record.answer) {
-    this->records.erase(found);
+  auto& records = this->partitions[PartitionOf(key)].records;
+  const auto attempts = records.find(key);
+  if (attempts == records.end()) {
+    return;
+  }
+  const auto found = attempts->second.find(attempt_id);
+  if (found == attempts->second.end() || found->second.record.answer) {
+    return;
+  }
+  attempts->second.erase(found);
+  --this->attempt_count;
+  if (attempts->second.empty()) {
+    records.erase(attempts);
   }
 }
 
 void Recorder::Finish(const std::string& key, const AttemptRecord& record,
                       Instant now) {
-  const auto found = this->records.find(key);
-  if (!record.answer ||
-      (found != this->records.end() &&
-       found->second.record.attempt_id != record.attempt_id)) {
+  if (!record.answer) {
     return;
   }
-  Entry& entry = this->records[key];
-  entry.record = record;
-  if (record.answer->body.size() > kLargestKeptBody) {
+  Partition& partition = this->partitions[PartitionOf(key)];
+  Entry& entry = this->Store(partition, key, record, now);
+  if (entry.record.answer->body.size() > kLargestKeptBody) {
     entry.record.answer->body.clear();
     entry.record.answer->body_kept = false;
   }
-  entry.expires_at = now + kKeyLifetime;
 }
 
 void Recorder::Import(std::uint32_t index, const DaemonRef& sender,
@@ -188,11 +215,8 @@
   }
   Partition& partition = this->partitions[index];
   for (const KeyedRecord& item : imported) {
-    const auto known = this->records.find(item.key);
-    const bool is_newer = known == this->records.end() ||
-                          (!known->second.record.answer && item.record.answer);
-    if (is_newer) {
-      this->records[item.key] = {item.record, now + kKeyLifetime};
+    if (PartitionOf(item.key) == index) {
+      this->Store(partition, item.key, item.record, now);
     }
   }
   if (IsComplete(partition) || sender_offset < partition.changed_at) {
@@ -213,9 +237,15 @@
 }
 
 void Recorder::Expire(Instant now) {
-  std::erase_if(this->records, [&](const auto& entry) {
-    return entry.second.expires_at <= now;
-  });
+  for (Partition& partition : this->partitions) {
+    for (auto& [key, attempts] : partition.records) {
+      this->attempt_count -= std::erase_if(attempts, [&](const auto& entry) {
+        return entry.second.expires_at <= now;
+      });
+    }
+    std::erase_if(partition.records,
+                  [](const auto& entry) { return entry.second.empty(); });
+  }
 }
 
 std::map<std::uint32_t, std::vector<DaemonRef>> Recorder::MissingPartitions()
@@ -245,8 +275,8 @@
     return std::nullopt;
   }
   std::vector<KeyedRecord> exported;
-  for (const auto& [key, entry] : this->records) {
-    if (PartitionOf(key) == index) {
+  for (const auto& [key, attempts] : partition.records) {
+    for (const auto& [attempt_id, entry] : attempts) {
       exported.push_back({key, entry.record});
     }
   }
--- a/packages/core/src/routing/rendezvous.cpp
+++ b/packages/core/src/routing/rendezvous.cpp
@@ -12,9 +12,14 @@
 struct Ranked {
   std::size_t round = 0;  // how many better ones its data centre has
   std::uint64_t score = 0;
-  DaemonRef daemon;
+  Candidate candidate;
 };
 
+bool HasBetterScore(const Ranked& left, const Ranked& right) {
+  return std::tie(left.score, left.candidate.daemon.id) >
+         std::tie(right.score, right.candidate.daemon.id);
+}
+
 }  // namespace
 
 std::uint64_t RendezvousScore(std::string_view key,
@@ -24,20 +29,17 @@
 
 std::vector<DaemonRef> RankAcrossDataCentres(
     std::string_view key, std::vector<Candidate> candidates) {
-  std::sort(candidates.begin(), candidates.end(),
-            [&](const Candidate& left, const Candidate& right) {
-              return std::tuple(RendezvousScore(key, left.daemon.id),
-                                left.daemon.id) >
-                     std::tuple(RendezvousScore(key, right.daemon.id),
-                                right.daemon.id);
-            });
-  std::map<std::string, std::size_t> seen;
+  const std::uint64_t key_hash = StableHash(key);
   std::vector<Ranked> ranked;
   ranked.reserve(candidates.size());
   for (Candidate& candidate : candidates) {
-    const std::uint64_t score = RendezvousScore(key, candidate.daemon.id);
-    ranked.push_back(
-        {seen[candidate.data_centre]++, score, std::move(candidate.daemon)});
+    const std::uint64_t score = StableHash(candidate.daemon.id, key_hash);
+    ranked.push_back({.score = score, .candidate = std::move(candidate)});
+  }
+  std::sort(ranked.begin(), ranked.end(), HasBetterScore);
+  std::map<std::string_view, std::size_t> seen;
+  for (Ranked& entry : ranked) {
+    entry.round = seen[entry.candidate.data_centre]++;
   }
   std::stable_sort(ranked.begin(), ranked.end(),
                    [](const Ranked& left, const Ranked& right) {
@@ -46,7 +48,7 @@
   std::vector<DaemonRef> daemons;
   daemons.reserve(ranked.size());
   for (Ranked& entry : ranked) {
-    daemons.push_back(std::move(entry.daemon));
+    daemons.push_back(std::move(entry.candidate.daemon));
   }
   return daemons;
 }
