--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -408,6 +408,9 @@
     const Envelope& envelope = message.envelope;
     switch (envelope.body_case()) {
       case Envelope::kForward:
+        // Known before the next message, which may cancel it.
+        (*this->forwards.Lock())[KeyOf(envelope)] =
+            std::make_shared<platform::async::Cancellation>();
         this->Spawn(this->ServeForward(
             std::make_shared<const peers::Incoming>(std::move(message))));
         return;
@@ -457,9 +460,9 @@
 
   asio::awaitable<void> ServeForward(
       std::shared_ptr<const peers::Incoming> message) {
-    auto cancellation = std::make_shared<platform::async::Cancellation>();
     const ForwardKey key = KeyOf(message->envelope);
-    (*this->forwards.Lock())[key] = cancellation;
+    const platform::async::CancellationPointer cancellation =
+        this->forwards.Lock()->at(key);
     const requests::Call call =
         requests::FromForward(message->envelope.forward(), Now());
     requests::CallResult result;
--- a/packages/daemon/src/requests/router.cpp
+++ b/packages/daemon/src/requests/router.cpp
@@ -34,6 +34,9 @@
 asio::awaitable<CallResult> Router::Route(
     Call& call, platform::async::CancellationPointer cancellation) {
   auto refusal = this->RefuseEarly(call);
+  if (cancellation && cancellation->IsCancelled()) {
+    refusal = NotRun(kGatewayTimeout, "the caller went away");
+  }
   if (refusal) {
     refusal->unused_credit = call.retry_credit;
     co_return *refusal;
--- a/tests/core/attempts_properties_test.cpp
+++ b/tests/core/attempts_properties_test.cpp
@@ -1,25 +1,14 @@
 // At-most-once execution under random schedules of faults.
 #include <catch2/catch.hpp>
-#include <cstdlib>
 
 #include "fakes/fake_fleet.h"
+#include "fakes/seeds.h"
 
 namespace {
 
 using lycheewell::fakes::FakeFleet;
 using std::chrono::milliseconds;
 
-constexpr std::uint64_t kSchedules = 10'000;
-
-std::pair<std::uint64_t, std::uint64_t> SeedRange() {
-  const char* seed = std::getenv("LYCHEEWELL_SEED");
-  if (seed != nullptr) {
-    const std::uint64_t one = std::strtoull(seed, nullptr, 10);
-    return {one, one + 1};
-  }
-  return {1, kSchedules + 1};
-}
-
 void Disturb(FakeFleet& fleet) {
   const std::size_t daemon = fleet.Random(fleet.size());
   const std::size_t other =
@@ -76,8 +65,7 @@
 
 TEST_CASE("no schedule of faults dispatches a key twice",
           "[properties][attempts]") {
-  const auto [first, end] = SeedRange();
-  for (std::uint64_t seed = first; seed < end; ++seed) {
+  for (const std::uint64_t seed : lycheewell::fakes::Seeds()) {
     INFO("replay with LYCHEEWELL_SEED=" << seed);
     REQUIRE(RunSchedule(seed) <= 1);
   }
--- a/tests/core/rate_properties_test.cpp
+++ b/tests/core/rate_properties_test.cpp
@@ -1,8 +1,8 @@
 // Rate and burst over the whole fleet, under random schedules of faults.
 #include <catch2/catch.hpp>
-#include <cstdlib>
 
 #include "fakes/fake_fleet.h"
+#include "fakes/seeds.h"
 
 namespace {
 
@@ -10,18 +10,6 @@
 using lycheewell::fakes::FakeFleetOptions;
 using std::chrono::milliseconds;
 
-constexpr std::uint64_t kSchedules = 10'000;
-
-// LYCHEEWELL_SEED replays one schedule.
-std::pair<std::uint64_t, std::uint64_t> SeedRange() {
-  const char* seed = std::getenv("LYCHEEWELL_SEED");
-  if (seed != nullptr) {
-    const std::uint64_t one = std::strtoull(seed, nullptr, 10);
-    return {one, one + 1};
-  }
-  return {1, kSchedules + 1};
-}
-
 // One random fault, or the end of one.
 void Disturb(FakeFleet& fleet) {
   const std::size_t daemon = fleet.Random(fleet.size());
@@ -88,8 +76,7 @@
 
 TEST_CASE("no schedule of faults lets an account exceed rate and burst",
           "[properties][rate]") {
-  const auto [first, end] = SeedRange();
-  for (std::uint64_t seed = first; seed < end; ++seed) {
+  for (const std::uint64_t seed : lycheewell::fakes::Seeds()) {
     INFO("replay with LYCHEEWELL_SEED=" << seed);
     REQUIRE(RunSchedule(seed) == 0);
   }
--- a/tests/harness/caller.cpp
+++ b/tests/harness/caller.cpp
@@ -109,13 +109,12 @@
   return received;
 }
 
-void Caller::SendAndLeave(const CallerRequest& wish) {
+void Caller::SendOnly(const CallerRequest& wish) {
   if (!this->Connect()) {
     return;
   }
   boost::system::error_code error;
   beast::http::write(*this->stream, MakeRequest(wish, this->address), error);
-  this->stream.reset();
 }
 
 CallerAnswer CallOnce(const std::string& address,
--- a/tests/harness/caller.h
+++ b/tests/harness/caller.h
@@ -41,8 +41,11 @@
   std::string SendRaw(const std::string& bytes,
                       std::chrono::milliseconds quiet);
 
-  // Sends the request without waiting for the answer, then closes.
-  void SendAndLeave(const CallerRequest& request);
+  // Sends the request without waiting for the answer.
+  void SendOnly(const CallerRequest& request);
+
+  // Closes the connection.
+  void Leave() { this->stream.reset(); }
 
  private:
   bool Connect();
--- a/tests/harness/fleet.cpp
+++ b/tests/harness/fleet.cpp
@@ -33,12 +33,23 @@
   return text.str();
 }
 
-// A port that nobody uses now.
+// A port that nobody uses now, below those that the system gives to outgoing
+// connections.
 std::uint16_t FreePort() {
-  boost::asio::io_context context;
-  boost::asio::ip::tcp::acceptor acceptor(
-      context, {boost::asio::ip::address_v4::loopback(), 0});
-  return acceptor.local_endpoint().port();
+  constexpr int kFirstPort = 12'000;
+  constexpr int kPorts = 18'000;
+  static int next = static_cast<int>(getpid()) * 50;
+  while (true) {
+    const auto port = static_cast<std::uint16_t>(kFirstPort + next++ % kPorts);
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor acceptor(context);
+    boost::system::error_code error;
+    acceptor.open(boost::asio::ip::tcp::v4());
+    acceptor.bind({boost::asio::ip::address_v4::loopback(), port}, error);
+    if (!error) {
+      return port;
+    }
+  }
 }
 
 std::string MakeDirectory() {
