Answer 503 while a daemon has no configuration; name operands that TCLAP accepts

Change: the callers' port answers 503 not-run until there is a configuration; the operand is named target.

--- a/packages/client/src/command_line.cpp
+++ b/packages/client/src/command_line.cpp
@@ -209,7 +209,7 @@
 }
 
 ExitCode PlanRetireTarget(const Arguments& arguments) {
-  PlanCommand plan("retires the target beside a daemon", "daemon");
+  PlanCommand plan("retires the target beside a daemon", "target");
   TCLAP::SwitchArg gone("", "gone", "the daemon runs no more", plan.parser());
   plan.Parse(arguments);
   return plan.Plan(OneIntent(core::configuration::TargetObject(plan.name()),
@@ -217,7 +217,7 @@
 }
 
 ExitCode PlanReturnTarget(const Arguments& arguments) {
-  PlanCommand plan("takes a retirement back", "daemon");
+  PlanCommand plan("takes a retirement back", "target");
   plan.Parse(arguments);
   return plan.Plan(
       OneIntent(core::configuration::TargetObject(plan.name()), std::nullopt));
--- a/packages/daemon/include/lycheewell/daemon/requests/ingress.h
+++ b/packages/daemon/include/lycheewell/daemon/requests/ingress.h
@@ -21,6 +21,8 @@
 class Ingress {
  public:
   struct Hooks {
+    // Whether this daemon has a configuration to serve by.
+    std::function<bool()> is_ready;
     // The target announced a service that is new here.
     std::function<void(const std::string& service)> on_new_service;
     // The target asks to leave.
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -131,7 +131,8 @@
     this->Spawn(this->caretaker.Run());
     this->Spawn(this->TickFast());
     this->Spawn(this->TickSlowly());
-    this->Spawn(this->OpenWhenReady());
+    this->Spawn(this->ReportReady());
+    this->callers_server->Start();
     this->operators_server->Start();
     this->local_server->Start();
     std::vector<std::thread> workers;
@@ -182,7 +183,8 @@
   }
 
   requests::Ingress::Hooks IngressHooks() {
-    return {.on_new_service =
+    return {.is_ready = [this] { return this->follower.IsReady(); },
+            .on_new_service =
                 [this](const std::string& service) {
                   this->caretaker.SetService(service);
                 },
@@ -229,12 +231,10 @@
     co_await timer.async_wait(asio::use_awaitable);
   }
 
-  // Callers are served only once there is a configuration.
-  asio::awaitable<void> OpenWhenReady() {
+  asio::awaitable<void> ReportReady() {
     while (!this->follower.IsReady()) {
       co_await this->Pause(kDrainPoll);
     }
-    this->callers_server->Start();
     this->events.Write(
         events::Event::kReady,
         {{"daemon", this->services.self.id},
--- a/packages/daemon/src/requests/ingress.cpp
+++ b/packages/daemon/src/requests/ingress.cpp
@@ -23,6 +23,7 @@
 constexpr int kForbidden = 403;
 constexpr int kNotFound = 404;
 constexpr int kTooManyRequests = 429;
+constexpr int kUnavailable = 503;
 constexpr std::size_t kRequestIdBytes = 12;
 constexpr std::size_t kLongestIdempotencyKey = 255;
 constexpr std::string_view kBearer = "Bearer ";
@@ -120,6 +121,9 @@
     const http::Request& request,
     platform::async::CancellationPointer cancellation,
     std::string& request_id) {
+  if (!this->hooks.is_ready()) {
+    co_return NotRun(kUnavailable, "this daemon has no configuration yet");
+  }
   const std::string target(http::View(request.target()));
   const std::string service(ServiceOf(target));
   if (service.empty()) {
--- a/tests/core/agreement_test.cpp
+++ b/tests/core/agreement_test.cpp
@@ -229,7 +229,8 @@
           random() % 5 == 0 ? "repeated" : std::to_string(random());
       const std::string account = "a" + std::to_string(random() % 3);
       Record record =
-          Confirmed(planned_on, command, {Rate(account, 1.0 + random() % 100)});
+          Confirmed(planned_on, command,
+                    {Rate(account, static_cast<double>(1 + random() % 100))});
       if (random() % 10 == 0) {
         const std::string text = EncodeState(writer);
         record = SnapshotWritten{writer.next, lycheewell::core::Sha256Hex(text),
--- a/tests/core/overload_test.cpp
+++ b/tests/core/overload_test.cpp
@@ -157,6 +157,7 @@
   SECTION("parallel calls share the credit") {
     int extra = 0;
     std::vector<int> lent;
+    lent.reserve(10);
     for (int call = 0; call < 10; ++call) {
       lent.push_back(credit.LendToCall());
     }
--- a/tests/harness/fleet.cpp
+++ b/tests/harness/fleet.cpp
@@ -22,10 +22,6 @@
 constexpr const char* kBinDir = LYCHEEWELL_BIN_DIR;
 constexpr auto kPollTime = std::chrono::milliseconds(20);
 
-std::string Program(const std::string& name) {
-  return std::string(kBinDir) + "/" + name;
-}
-
 std::string ReadFile(const std::string& path) {
   std::ifstream file(path);
   std::ostringstream text;
@@ -90,6 +86,10 @@
 
 }  // namespace
 
+std::string Program(const std::string& name) {
+  return std::string(kBinDir) + "/" + name;
+}
+
 bool WaitUntil(const std::function<bool()>& condition,
                std::chrono::milliseconds limit) {
   const auto give_up = std::chrono::steady_clock::now() + limit;
@@ -111,6 +111,10 @@
       std::vector<std::string>{Program("standin_log"), "--address",
                                this->log_address},
       this->path + "/log.out");
+  WaitUntil([this] {
+    return CallOnce(this->log_address, {.target = "/records?from=0&limit=1"})
+               .status == 200;
+  });
 }
 
 Fleet::~Fleet() {
--- a/tests/harness/fleet.h
+++ b/tests/harness/fleet.h
@@ -16,6 +16,9 @@
 
 namespace lycheewell::harness {
 
+// The path of a program of this build.
+std::string Program(const std::string& name);
+
 // Checks `condition` until it holds or `limit` passes.
 bool WaitUntil(const std::function<bool()>& condition,
                std::chrono::milliseconds limit = std::chrono::seconds(30));
--- a/tests/process/promises_test.cpp
+++ b/tests/process/promises_test.cpp
@@ -487,22 +487,43 @@
   }
 }
 
+// Callers that send one request after another until they are stopped.
+class BackgroundLoad {
+ public:
+  BackgroundLoad(const std::string& address, const CallerRequest& request) {
+    constexpr int kCallers = 3;
+    for (int index = 0; index < kCallers; ++index) {
+      this->threads.emplace_back([this, address, request] {
+        Caller caller(address);
+        while (!this->stop) {
+          this->failed += caller.Send(request).status == kOk ? 0 : 1;
+        }
+      });
+    }
+  }
+  ~BackgroundLoad() { this->Stop(); }
+
+  // Returns how many requests were not served.
+  int Stop() {
+    this->stop = true;
+    for (std::thread& thread : this->threads) {
+      thread.join();
+    }
+    this->threads.clear();
+    return this->failed;
+  }
+
+ private:
+  std::atomic<bool> stop = false;
+  std::atomic<int> failed = 0;
+  std::vector<std::thread> threads;
+};
+
 TEST_CASE("a leaving target gets no new work and loses none",
           "[process][drain]") {
   SmallFleet world;
-  std::atomic<bool> stop = false;
-  std::atomic<int> failed = 0;
-  std::vector<std::thread> callers;
-  for (int index = 0; index < 3; ++index) {
-    callers.emplace_back([&] {
-      Caller caller(world.plain->callers_address);
-      while (!stop) {
-        const CallerAnswer answer = caller.Send(
-            {.target = "/calendar/x?sleep_ms=30", .key = world.key});
-        failed += answer.status == kOk ? 0 : 1;
-      }
-    });
-  }
+  BackgroundLoad load(world.plain->callers_address,
+                      {.target = "/calendar/x?sleep_ms=30", .key = world.key});
   const auto journal_size = [&] {
     return world.fleet.Journal(*world.calendar[0]).size();
   };
@@ -524,11 +545,7 @@
   const std::size_t after_two_seconds = journal_size();
   std::this_thread::sleep_for(seconds(1));
   CHECK(journal_size() == after_two_seconds);
-  stop = true;
-  for (std::thread& caller : callers) {
-    caller.join();
-  }
-  CHECK(failed == 0);
+  CHECK(load.Stop() == 0);
 }
 
 TEST_CASE("a request that crashes its target is stopped after two targets",
