--- a/packages/core/include/lycheewell/core/overload/admission_level.h
+++ b/packages/core/include/lycheewell/core/overload/admission_level.h
@@ -15,8 +15,8 @@
 
   // Commands.
 
-  // The queue's longest wait now, and whether entries had to be refused.
-  void Observe(Duration longest_wait, bool refused, Instant now);
+  // The queue's longest wait now.
+  void Observe(Duration longest_wait, Instant now);
 
   // Queries.
 
@@ -25,7 +25,6 @@
 
  private:
   double current = 0;
-  bool was_refused = false;
   Duration longest{};
   Instant adjusted_at;
 };
--- a/packages/core/src/overload/admission_level.cpp
+++ b/packages/core/src/overload/admission_level.cpp
@@ -6,12 +6,13 @@
 namespace {
 
 constexpr Duration kAdjustTime = std::chrono::milliseconds(50);
-constexpr Duration kTargetWait = std::chrono::milliseconds(20);
-constexpr double kRise = 6;
-constexpr double kFall = 4;
+constexpr Duration kTargetWait = std::chrono::milliseconds(80);
+constexpr double kRise = 2;
+constexpr double kFall = 8;
 
-// The highest level: some of the most important requests always get through.
-constexpr double kHighestLevel = kRankCount - kRanksPerImportance / 4.0;
+// The most important requests are never refused by level, only by a queue that
+// is full of their like.
+constexpr double kHighestLevel = kRankCount - kRanksPerImportance;
 
 constexpr Duration kFadeTime = std::chrono::milliseconds(500);
 
@@ -19,17 +20,15 @@
 
 AdmissionLevel::AdmissionLevel(Instant now) : adjusted_at(now) {}
 
-void AdmissionLevel::Observe(Duration longest_wait, bool refused, Instant now) {
+void AdmissionLevel::Observe(Duration longest_wait, Instant now) {
   this->longest = std::max(this->longest, longest_wait);
-  this->was_refused = this->was_refused || refused;
   if (now - this->adjusted_at < kAdjustTime) {
     return;
   }
-  const bool is_overloaded = this->was_refused || this->longest > kTargetWait;
+  const bool is_overloaded = this->longest > kTargetWait;
   this->current += is_overloaded ? kRise : -kFall;
   this->current = std::clamp(this->current, 0.0, kHighestLevel);
   this->adjusted_at = now;
-  this->was_refused = false;
   this->longest = Duration{};
 }
 
--- a/packages/daemon/src/requests/dispatcher.cpp
+++ b/packages/daemon/src/requests/dispatcher.cpp
@@ -192,7 +192,7 @@
 int Dispatcher::LevelFor(State& state, const std::string& route_key,
                          core::Instant now) {
   if (state.queue.size() == 0) {
-    state.level.Observe(core::Duration{}, false, now);
+    state.level.Observe(core::Duration{}, now);
   }
   const auto heard = state.route_levels.find(route_key);
   const int deeper =
@@ -231,9 +231,7 @@
                                               .enqueued_at = Now(),
                                               .deadline = call.deadline},
                                              room);
-      locked->level.Observe(locked->queue.OldestWait(Now()),
-                            !offer.accepted || offer.displaced.has_value(),
-                            Now());
+      locked->level.Observe(locked->queue.OldestWait(Now()), Now());
       if (!offer.accepted) {
         const int level = this->LevelFor(*locked, call.route_key, Now());
         CallResult result = Shed("the target's queue is full", level);
@@ -429,7 +427,7 @@
     return;
   }
   const core::Instant now = Now();
-  current.level.Observe(current.queue.OldestWait(now), false, now);
+  current.level.Observe(current.queue.OldestWait(now), now);
   while (static_cast<int>(current.running.size()) < current.limit->limit()) {
     const auto popped = current.queue.Pop(now);
     for (const QueueEntry& expired : popped.expired) {
--- a/tests/core/overload_test.cpp
+++ b/tests/core/overload_test.cpp
@@ -109,14 +109,14 @@
   overload::AdmissionLevel level(now);
   for (int step = 0; step < 200; ++step) {
     now += milliseconds(50);
-    level.Observe(milliseconds(100), true, now);
+    level.Observe(milliseconds(100), now);
   }
   const int highest_rank = overload::kRankCount - 1;
   CHECK_FALSE(level.Admits(0));
   CHECK(level.Admits(highest_rank));
   for (int step = 0; step < 100; ++step) {
     now += milliseconds(50);
-    level.Observe(Duration{}, false, now);
+    level.Observe(Duration{}, now);
   }
   CHECK(level.Admits(0));
 
