--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 	build/release/bin/lycheewell_demo
 
 test: build
-	ctest --test-dir build/release --output-on-failure --no-tests=error
+	ctest --test-dir build/release --output-on-failure --no-tests=error --parallel $$(nproc)
 
 lint: setup
 	scripts/lint.sh
