--- a/benchmark/path_bench.cpp
+++ b/benchmark/path_bench.cpp
@@ -106,6 +106,7 @@
   const double beside_before = ProcessorSeconds(beside.daemon->pid());
   std::atomic<int> served = 0;
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   const auto end = Clock::now() + kTime;
   for (int index = 0; index < kCallers; ++index) {
     callers.emplace_back([&] {
--- a/packages/daemon/src/agreement/caretaker.cpp
+++ b/packages/daemon/src/agreement/caretaker.cpp
@@ -202,9 +202,10 @@
   const auto view = this->services.tables.configuration.view();
   std::string state = configuration::EncodeState(view->state());
   const core::Offset offset = view->state().next;
+  std::string content_hash = core::Sha256Hex(state);
   configuration::Record record =
       configuration::SnapshotWritten{.offset = offset,
-                                     .content_hash = core::Sha256Hex(state),
+                                     .content_hash = std::move(content_hash),
                                      .state = std::move(state)};
   const auto result = co_await this->follower.Append(std::move(record));
   const auto* written = std::get_if<std::uint64_t>(&result);
--- a/tests/core/rate_properties_test.cpp
+++ b/tests/core/rate_properties_test.cpp
@@ -147,4 +147,46 @@
   }
 }
 
+// Every daemon asks for far more than the rate, so that nothing is left over.
+void Flood(FakeFleet& fleet, int milliseconds_long) {
+  for (int time = 0; time < milliseconds_long; time += 5) {
+    for (std::size_t daemon = 0; daemon < fleet.size(); ++daemon) {
+      fleet.Request(daemon);
+    }
+    fleet.Run(milliseconds(5));
+  }
+}
+
+TEST_CASE("under a flood no token is given twice", "[rate]") {
+  FakeFleet fleet({.seed = 5,
+                   .daemons = 5,
+                   .rate = 200,
+                   .burst = 40,
+                   .clocks_drift = true});
+  fleet.Run(milliseconds(1000));
+  Flood(fleet, 2'000);
+
+  SECTION("a holder that is cut off from all stops before others start") {
+    for (std::size_t other = 0; other < fleet.size(); ++other) {
+      if (other != 2) {
+        fleet.CutBetween(2, other, true);
+      }
+    }
+    fleet.CutFromLog(2, true);
+    Flood(fleet, 10'000);
+    CHECK(fleet.overshoot() == 0);
+  }
+  SECTION("a holder that was paused has stopped when it comes back") {
+    fleet.Pause(2);
+    Flood(fleet, 10'000);
+    fleet.Resume(2);
+    Flood(fleet, 100);
+    CHECK(fleet.overshoot() == 0);
+  }
+  SECTION("clocks that run fast add nothing over two minutes") {
+    Flood(fleet, 120'000);
+    CHECK(fleet.overshoot() == 0);
+  }
+}
+
 }  // namespace
