--- a/tests/daemon/settings_test.cpp
+++ b/tests/daemon/settings_test.cpp
@@ -125,6 +125,15 @@
                             .attempt_id = "a"};
   CHECK(requests::FromForward(requests::ToForward(call, now), now) == call);
 
+  SECTION("also with bytes that are no UTF-8, as HTTP allows") {
+    requests::Call odd = call;
+    odd.headers = {{"X-Name", "Jos\xe9"}};
+    odd.target = "/payments/\xff";
+    const std::string bytes = requests::ToForward(odd, now).SerializeAsString();
+    lycheewell::peers::Forward received;
+    REQUIRE(received.ParseFromString(bytes));
+    CHECK(requests::FromForward(received, now) == odd);
+  }
   SECTION("and so does its result") {
     const requests::CallResult result{
         .outcome = requests::Outcome::kRan,
