--- a/packages/client/src/command_line.cpp
+++ b/packages/client/src/command_line.cpp
@@ -11,7 +11,7 @@
 #include "lycheewell/client/commands/change.h"
 #include "lycheewell/client/queries/show.h"
 #include "lycheewell/core/configuration/record.h"
-#include "lycheewell/platform/http/message.h"
+#include "lycheewell/io/http/message.h"
 
 namespace lycheewell::client {
 namespace json = boost::json;
@@ -282,7 +282,7 @@
   StringOption path("", "path", "a request's path", false, "", "path",
                     command.parser());
   const Session session = command.Parse(arguments);
-  using platform::http::EncodeQueryValue;
+  using io::http::EncodeQueryValue;
   if (account.isSet()) {
     return queries::ShowExplanation(
         session, "account=" + EncodeQueryValue(account.getValue()));
--- a/packages/client/src/session.cpp
+++ b/packages/client/src/session.cpp
@@ -6,11 +6,11 @@
 #include <ctime>
 #include <iostream>
 
-#include "lycheewell/platform/http/client.h"
+#include "lycheewell/io/http/client.h"
 
 namespace lycheewell::client {
 namespace asio = boost::asio;
-namespace http = platform::http;
+namespace http = io::http;
 namespace json = boost::json;
 
 namespace {
--- /dev/null
+++ b/packages/core/include/lycheewell/core/manifest/manifest.h
@@ -0,0 +1,78 @@
+// The operators' configuration of routes, services and client accounts, as one
+// immutable value.
+#ifndef LYCHEEWELL_CORE_MANIFEST_MANIFEST_H_
+#define LYCHEEWELL_CORE_MANIFEST_MANIFEST_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "lycheewell/core/types.h"
+
+namespace lycheewell::core::manifest {
+
+// One of the services among which a route divides its requests.
+struct Destination {
+  std::string service;
+  std::uint32_t weight = 1;
+
+  bool operator==(const Destination&) const = default;
+};
+
+struct Route {
+  std::string name;
+  std::string host;
+  std::string path_prefix;  // begins and ends with a slash
+  bool is_idempotent = false;
+  bool is_open = false;      // served without a client account's key
+  Duration timeout{};        // zero: none
+  Duration latency_target{}; // zero: none
+  int priority = 0;          // 0 is the most important
+  int most_attempts = 1;     // targets that one request may be sent to
+  std::vector<Destination> destinations;
+
+  bool operator==(const Route&) const = default;
+};
+
+struct Service {
+  std::string name;
+  std::string health_path;
+  std::uint32_t most_connections = 0;  // per target; 0: not stated
+
+  bool operator==(const Service&) const = default;
+};
+
+struct Account {
+  std::string name;
+  std::vector<std::string> keys;
+  std::optional<int> priority;
+  double rate_per_second = 0;  // 0: no limit
+  double burst = 0;
+
+  bool operator==(const Account&) const = default;
+};
+
+// What a client may send and how long it may take.
+struct ClientLimits {
+  std::uint32_t header_bytes = 16 * 1024;
+  std::uint64_t body_bytes = 1024 * 1024;
+  Duration header_timeout = std::chrono::seconds(3);
+  Duration idle_timeout = std::chrono::seconds(15);
+
+  bool operator==(const ClientLimits&) const = default;
+};
+
+struct Manifest {
+  std::uint64_t version = 0;
+  std::vector<Route> routes;
+  std::vector<Service> services;
+  std::vector<Account> accounts;
+  ClientLimits limits;
+
+  bool operator==(const Manifest&) const = default;
+};
+
+}  // namespace lycheewell::core::manifest
+
+#endif  // LYCHEEWELL_CORE_MANIFEST_MANIFEST_H_
--- a/packages/daemon/include/lycheewell/daemon/agreement/follower.h
+++ b/packages/daemon/include/lycheewell/daemon/agreement/follower.h
@@ -26,7 +26,7 @@
   void Stop() { this->stopping = true; }
 
   // Appends one record, once.
-  boost::asio::awaitable<platform::log::AppendResult> Append(
+  boost::asio::awaitable<io::log::AppendResult> Append(
       core::configuration::Record record);
 
   // Folds records and tells some peers of new ones.
--- a/packages/daemon/include/lycheewell/daemon/events/event_catalogue.h
+++ b/packages/daemon/include/lycheewell/daemon/events/event_catalogue.h
@@ -19,6 +19,8 @@
   kStopped = 1004,
   kBadHttpRequest = 1005,
   kBadPeerMessage = 1006,
+  kLinesLeftOut = 1101,
+  kSettingsReloaded = 1102,
 
   kRequestRouted = 2001,
   kRequestRefused = 2002,
@@ -27,6 +29,13 @@
   kRequestShed = 2005,
   kContextRefused = 2006,
   kRequestReplayed = 2007,
+  kCallAnswered = 2101,
+  kCallRefused = 2102,
+  kCallFailed = 2103,
+  kCallRepeated = 2104,
+  kCallAbandoned = 2105,
+  kSlotRefused = 2106,
+  kTargetBroke = 2107,
 
   kLogUnreachable = 3001,
   kLogReachable = 3002,
@@ -37,9 +46,19 @@
   kSnapshotMismatch = 3007,
   kSnapshotAdopted = 3008,
   kRecordsMissing = 3009,
+  kManifestAdopted = 3101,
+  kManifestUnreadable = 3102,
+  kStoreUnreachable = 3103,
+  kStoreReachable = 3104,
+  kProofExpired = 3105,
+  kMemberAnnounced = 3106,
 
   kMemberHealthChanged = 4001,
   kMemberEvicted = 4002,
+  kLinkOpened = 4101,
+  kLinkLost = 4102,
+  kMemberLearnt = 4103,
+  kMemberForgotten = 4104,
 
   kShareRecordProposed = 5001,
 
@@ -50,6 +69,9 @@
   kTargetCrashed = 7002,
   kTargetDraining = 7003,
   kRequestQuarantined = 7004,
+  kTargetStateChanged = 7101,
+  kAnnouncementRejected = 7102,
+  kTargetUnreachable = 7103,
 
   kPlanMade = 8001,
   kChangeConfirmed = 8002,
--- a/packages/daemon/include/lycheewell/daemon/events/event_log.h
+++ b/packages/daemon/include/lycheewell/daemon/events/event_log.h
@@ -3,6 +3,8 @@
 #ifndef LYCHEEWELL_DAEMON_EVENTS_EVENT_LOG_H_
 #define LYCHEEWELL_DAEMON_EVENTS_EVENT_LOG_H_
 
+#include <log4cplus/appender.h>
+
 #include <cstdint>
 #include <deque>
 #include <initializer_list>
@@ -17,6 +19,12 @@
 
 namespace lycheewell::daemon::events {
 
+// A log that goes to an appender of the caller's.
+struct EventLogOptions {
+  std::string level = "info";
+  log4cplus::SharedAppenderPtr appender;
+};
+
 struct LoggedEvent {
   Event event = Event::kStarted;
   std::int64_t time_ms = 0;  // since the Unix epoch
@@ -32,6 +40,7 @@
       std::initializer_list<std::pair<std::string_view, std::string_view>>;
 
   explicit EventLog(const settings::LoggingSettings& settings);
+  explicit EventLog(const EventLogOptions& options);
   ~EventLog();
 
   EventLog(const EventLog&) = delete;
--- a/packages/daemon/include/lycheewell/daemon/operators/operators_context.h
+++ b/packages/daemon/include/lycheewell/daemon/operators/operators_context.h
@@ -8,7 +8,7 @@
 #include "lycheewell/daemon/membership/gossip.h"
 #include "lycheewell/daemon/requests/dispatcher.h"
 #include "lycheewell/daemon/services.h"
-#include "lycheewell/platform/http/message.h"
+#include "lycheewell/io/http/message.h"
 
 namespace lycheewell::daemon::operators {
 
@@ -22,14 +22,14 @@
 // One authenticated request of an operator.
 struct OperatorRequest {
   std::string operator_name;
-  platform::http::Target target;
+  io::http::Target target;
   std::string body;
 
   bool operator==(const OperatorRequest&) const = default;
 };
 
 // {"error": kind, "problems": [...]}.
-platform::http::Response MakeError(platform::http::Status status,
+io::http::Response MakeError(io::http::Status status,
                                    const std::string& kind,
                                    const std::vector<std::string>& problems);
 
--- a/packages/daemon/include/lycheewell/daemon/operators/operators_port.h
+++ b/packages/daemon/include/lycheewell/daemon/operators/operators_port.h
@@ -20,14 +20,14 @@
  public:
   OperatorsPort(OperatorsContext context, FaultTable& faults);
 
-  boost::asio::awaitable<std::optional<platform::http::Response>> Handle(
-      platform::http::Request request,
-      platform::async::CancellationPointer cancellation);
+  boost::asio::awaitable<std::optional<io::http::Response>> Handle(
+      io::http::Request request,
+      io::async::CancellationPointer cancellation);
 
  private:
   std::optional<std::string> Authenticate(
-      const platform::http::Request& request);
-  platform::http::Response SetFaults(const std::string& body);
+      const io::http::Request& request);
+  io::http::Response SetFaults(const std::string& body);
 
   OperatorsContext context;
   FaultTable& faults;
--- a/packages/daemon/include/lycheewell/daemon/operators/queries/reports.h
+++ b/packages/daemon/include/lycheewell/daemon/operators/queries/reports.h
@@ -7,19 +7,19 @@
 namespace lycheewell::daemon::operators::queries {
 
 // GET /v1/status
-platform::http::Response ReportStatus(OperatorsContext& context);
+io::http::Response ReportStatus(OperatorsContext& context);
 
 // GET /v1/history?limit=N
-platform::http::Response ReportHistory(OperatorsContext& context,
+io::http::Response ReportHistory(OperatorsContext& context,
                                        const OperatorRequest& request);
 
 // GET /v1/events?limit=N
-platform::http::Response ReportEvents(OperatorsContext& context,
+io::http::Response ReportEvents(OperatorsContext& context,
                                       const OperatorRequest& request);
 
 // GET /v1/explain?account=NAME, ?target=DAEMON, ?key=ID, or ?method=&path= for
 // a request to "/service/path".
-platform::http::Response Explain(OperatorsContext& context,
+io::http::Response Explain(OperatorsContext& context,
                                  const OperatorRequest& request);
 
 }  // namespace lycheewell::daemon::operators::queries
--- a/packages/daemon/include/lycheewell/daemon/requests/call.h
+++ b/packages/daemon/include/lycheewell/daemon/requests/call.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "lycheewell/core/types.h"
-#include "lycheewell/platform/http/message.h"
+#include "lycheewell/io/http/message.h"
 #include "messages.pb.h"
 
 namespace lycheewell::daemon::requests {
@@ -77,7 +77,7 @@
 CallResult MayHaveRun(int status, std::string reason);
 
 // The answer for the caller: the target's own, or problem details.
-platform::http::Response ToResponse(const CallResult& result,
+io::http::Response ToResponse(const CallResult& result,
                                     const std::string& request_id);
 
 peers::Forward ToForward(const Call& call, core::Instant now);
--- a/packages/daemon/include/lycheewell/daemon/requests/dispatcher.h
+++ b/packages/daemon/include/lycheewell/daemon/requests/dispatcher.h
@@ -65,7 +65,7 @@
 
   // Runs `call` at the target, or says why not.
   boost::asio::awaitable<CallResult> Dispatch(
-      const Call& call, platform::async::CancellationPointer cancellation);
+      const Call& call, io::async::CancellationPointer cancellation);
 
   // Queries.
 
@@ -74,7 +74,7 @@
 
  private:
   enum class Turn { kRun, kDisplaced, kExpired, kCancelled };
-  using TurnWaiter = platform::async::Waiter<Turn>;
+  using TurnWaiter = io::async::Waiter<Turn>;
 
   struct Queued {
     std::shared_ptr<TurnWaiter> waiter;
@@ -107,7 +107,7 @@
     std::uint64_t next_ticket = 1;
     bool draining = false;
     bool suspect_is_running = false;
-    std::deque<std::shared_ptr<platform::async::Waiter<bool>>> suspects;
+    std::deque<std::shared_ptr<io::async::Waiter<bool>>> suspects;
     // Requests that ran when the first connection of the instance broke.
     std::vector<std::string> running_at_break;
     core::Instant broken_at;
@@ -115,10 +115,10 @@
   };
 
   boost::asio::awaitable<CallResult> RunInTurn(
-      const Call& call, platform::async::CancellationPointer cancellation);
+      const Call& call, io::async::CancellationPointer cancellation);
   boost::asio::awaitable<CallResult> RunAtTarget(
       const Call& call, const TargetAnnouncement& target, std::uint64_t ticket,
-      platform::async::CancellationPointer cancellation);
+      io::async::CancellationPointer cancellation);
   boost::asio::awaitable<bool> EnterSuspect(const Call& call);
   void LeaveSuspect();
   boost::asio::awaitable<void> ExamineBreak(const TargetAnnouncement& target);
@@ -128,7 +128,7 @@
   void FinishTicket(std::uint64_t ticket);
   void ConfirmCrash(State& state);
   int LevelFor(State& state, const std::string& route_key, core::Instant now);
-  platform::http::Request MakeRequest(const Call& call,
+  io::http::Request MakeRequest(const Call& call,
                                       const std::string& handle) const;
 
   Services& services;
--- a/packages/daemon/include/lycheewell/daemon/requests/ingress.h
+++ b/packages/daemon/include/lycheewell/daemon/requests/ingress.h
@@ -14,7 +14,7 @@
 #include "lycheewell/daemon/requests/router.h"
 #include "lycheewell/daemon/requests/token_gate.h"
 #include "lycheewell/daemon/services.h"
-#include "lycheewell/platform/http/message.h"
+#include "lycheewell/io/http/message.h"
 
 namespace lycheewell::daemon::requests {
 
@@ -33,15 +33,15 @@
           TokenGate& tokens, Hooks hooks);
 
   // Serves one request of a caller.
-  boost::asio::awaitable<std::optional<platform::http::Response>> HandleCaller(
-      platform::http::Request request,
-      platform::async::CancellationPointer cancellation);
+  boost::asio::awaitable<std::optional<io::http::Response>> HandleCaller(
+      io::http::Request request,
+      io::async::CancellationPointer cancellation);
 
   // Serves one request of the target beside this daemon: an announcement, or a
   // call to another service on behalf of a request that runs there.
-  boost::asio::awaitable<std::optional<platform::http::Response>> HandleLocal(
-      platform::http::Request request,
-      platform::async::CancellationPointer cancellation);
+  boost::asio::awaitable<std::optional<io::http::Response>> HandleLocal(
+      io::http::Request request,
+      io::async::CancellationPointer cancellation);
 
   // Requests that are being served now.
   int InFlight() const { return this->in_flight; }
@@ -52,23 +52,23 @@
     std::optional<CallResult> refusal;
   };
 
-  Identity Identify(const platform::http::Request& request,
+  Identity Identify(const io::http::Request& request,
                     const core::configuration::Route& route);
-  std::optional<Call> MakeCall(const platform::http::Request& request,
+  std::optional<Call> MakeCall(const io::http::Request& request,
                                std::string_view service,
                                const core::configuration::Route& route,
                                const std::string& account);
   boost::asio::awaitable<CallResult> ServeCaller(
-      const platform::http::Request& request,
-      platform::async::CancellationPointer cancellation,
+      const io::http::Request& request,
+      io::async::CancellationPointer cancellation,
       std::string& request_id);
   boost::asio::awaitable<CallResult> ServeLocalCall(
-      const platform::http::Request& request,
-      platform::async::CancellationPointer cancellation,
+      const io::http::Request& request,
+      io::async::CancellationPointer cancellation,
       std::string& request_id);
-  platform::http::Response HandleAnnouncement(
-      const platform::http::Request& request);
-  core::Duration TimeoutOf(const platform::http::Request& request) const;
+  io::http::Response HandleAnnouncement(
+      const io::http::Request& request);
+  core::Duration TimeoutOf(const io::http::Request& request) const;
   void CountResult(const CallResult& result);
 
   Services& services;
--- a/packages/daemon/include/lycheewell/daemon/requests/router.h
+++ b/packages/daemon/include/lycheewell/daemon/requests/router.h
@@ -22,7 +22,7 @@
 
   // Runs `call` and returns its final result, with the credit it left over.
   boost::asio::awaitable<CallResult> Route(
-      Call& call, platform::async::CancellationPointer cancellation);
+      Call& call, io::async::CancellationPointer cancellation);
 
  private:
   struct Choice {
@@ -35,12 +35,12 @@
                                const std::set<core::DaemonRef>& tried);
   boost::asio::awaitable<CallResult> Attempt(
       const Call& call, const Choice& choice,
-      platform::async::CancellationPointer cancellation);
+      io::async::CancellationPointer cancellation);
   boost::asio::awaitable<CallResult> Forward(
       const Call& call, const core::DaemonRef& daemon,
-      platform::async::CancellationPointer cancellation);
+      io::async::CancellationPointer cancellation);
   boost::asio::awaitable<CallResult> RouteAttempts(
-      Call& call, platform::async::CancellationPointer cancellation);
+      Call& call, io::async::CancellationPointer cancellation);
   bool MayRetry(const Call& call, const CallResult& result,
                 core::retry::RetryCredit& credit);
   void RecordAttempt(const Call& call, const core::DaemonRef& daemon,
--- a/packages/daemon/include/lycheewell/daemon/services.h
+++ b/packages/daemon/include/lycheewell/daemon/services.h
@@ -11,8 +11,8 @@
 #include "lycheewell/daemon/settings/settings.h"
 #include "lycheewell/daemon/tables/tables.h"
 #include "lycheewell/peers/transport.h"
-#include "lycheewell/platform/http/client.h"
-#include "lycheewell/platform/log/log_service.h"
+#include "lycheewell/io/http/client.h"
+#include "lycheewell/io/log/log_service.h"
 
 namespace lycheewell::daemon {
 
@@ -24,8 +24,8 @@
   events::EventLog& events;
   metrics::Metrics& metrics;
   tables::Tables& tables;
-  platform::log::LogService log;
-  std::shared_ptr<platform::http::Client> http_client;
+  io::log::LogService log;
+  std::shared_ptr<io::http::Client> http_client;
   // Set once all message handlers exist.
   peers::Transport* transport = nullptr;
 };
--- a/packages/daemon/include/lycheewell/daemon/tables/tables.h
+++ b/packages/daemon/include/lycheewell/daemon/tables/tables.h
@@ -20,13 +20,13 @@
 #include "lycheewell/core/types.h"
 #include "lycheewell/daemon/tables/configuration_table.h"
 #include "lycheewell/daemon/tables/guarded.h"
-#include "lycheewell/platform/async/cancellation.h"
-#include "lycheewell/platform/async/waiter.h"
+#include "lycheewell/io/async/cancellation.h"
+#include "lycheewell/io/async/waiter.h"
 
 namespace lycheewell::daemon::tables {
 
 // Wakes requests that wait for tokens of one account.
-using TokenWaiter = platform::async::Waiter<bool>;
+using TokenWaiter = io::async::Waiter<bool>;
 
 struct LimiterEntry {
   explicit LimiterEntry(core::rate::AccountLimiter::Options options,
@@ -53,7 +53,7 @@
   core::retry::RetryCredit credit{0};
   // Highest admission level that refused one of the request's own calls.
   int refused_at_level = 0;
-  platform::async::CancellationPointer cancellation;
+  io::async::CancellationPointer cancellation;
 };
 
 // By context handle.
--- a/packages/daemon/src/agreement/follower.cpp
+++ b/packages/daemon/src/agreement/follower.cpp
@@ -8,10 +8,10 @@
 namespace lycheewell::daemon::agreement {
 namespace asio = boost::asio;
 
-using platform::log::AppendResult;
-using platform::log::LogBatch;
-using platform::log::LogError;
-using platform::log::LogRecord;
+using io::log::AppendResult;
+using io::log::LogBatch;
+using io::log::LogError;
+using io::log::LogRecord;
 
 namespace {
 
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -19,13 +19,13 @@
 #include "lycheewell/daemon/requests/router.h"
 #include "lycheewell/daemon/requests/token_gate.h"
 #include "lycheewell/daemon/services.h"
-#include "lycheewell/platform/http/server.h"
-#include "lycheewell/platform/log/http_log.h"
+#include "lycheewell/io/http/server.h"
+#include "lycheewell/io/log/http_log.h"
 
 namespace lycheewell::daemon {
 namespace asio = boost::asio;
 namespace configuration = core::configuration;
-namespace http = platform::http;
+namespace http = io::http;
 
 using configuration::commands::FoldOutcome;
 
@@ -84,7 +84,7 @@
                         .gossip = this->gossip,
                         .dispatcher = this->dispatcher},
                        this->faults) {
-    this->services.log = platform::log::MakeHttpLog(
+    this->services.log = io::log::MakeHttpLog(
         this->services.http_client, {.address = this->settings.log.address,
                                      .timeout = this->settings.log.timeout});
     this->tables.configuration.SetFoldHook(
@@ -204,7 +204,7 @@
     this->callers_server = std::make_unique<http::Server>(
         this->context, options,
         [this](http::Request request,
-               platform::async::CancellationPointer cancellation) {
+               io::async::CancellationPointer cancellation) {
           return this->ingress.HandleCaller(std::move(request),
                                             std::move(cancellation));
         });
@@ -212,7 +212,7 @@
     this->local_server = std::make_unique<http::Server>(
         this->context, options,
         [this](http::Request request,
-               platform::async::CancellationPointer cancellation) {
+               io::async::CancellationPointer cancellation) {
           return this->ingress.HandleLocal(std::move(request),
                                            std::move(cancellation));
         });
@@ -220,7 +220,7 @@
     this->operators_server = std::make_unique<http::Server>(
         this->context, options,
         [this](http::Request request,
-               platform::async::CancellationPointer cancellation) {
+               io::async::CancellationPointer cancellation) {
           return this->operators_port.Handle(std::move(request),
                                              std::move(cancellation));
         });
@@ -410,7 +410,7 @@
       case Envelope::kForward:
         // Known before the next message, which may cancel it.
         (*this->forwards.Lock())[KeyOf(envelope)] =
-            std::make_shared<platform::async::Cancellation>();
+            std::make_shared<io::async::Cancellation>();
         this->Spawn(this->ServeForward(
             std::make_shared<const peers::Incoming>(std::move(message))));
         return;
@@ -461,7 +461,7 @@
   asio::awaitable<void> ServeForward(
       std::shared_ptr<const peers::Incoming> message) {
     const ForwardKey key = KeyOf(message->envelope);
-    const platform::async::CancellationPointer cancellation =
+    const io::async::CancellationPointer cancellation =
         this->forwards.Lock()->at(key);
     const requests::Call call =
         requests::FromForward(message->envelope.forward(), Now());
@@ -478,7 +478,7 @@
   }
 
   void CancelForward(const peers::Envelope& envelope) {
-    platform::async::CancellationPointer cancellation;
+    io::async::CancellationPointer cancellation;
     {
       auto table = this->forwards.Lock();
       const auto found = table->find(KeyOf(envelope));
@@ -497,7 +497,7 @@
   metrics::Metrics metrics;
   tables::Tables tables;
   operators::FaultTable faults;
-  tables::Guarded<std::map<ForwardKey, platform::async::CancellationPointer>>
+  tables::Guarded<std::map<ForwardKey, io::async::CancellationPointer>>
       forwards;
   Services services;
   agreement::Follower follower;
--- a/packages/daemon/src/events/event_log.cpp
+++ b/packages/daemon/src/events/event_log.cpp
@@ -32,6 +32,11 @@
   return log4cplus::INFO_LOG_LEVEL;
 }
 
+void SetLayout(const log4cplus::SharedAppenderPtr& appender) {
+  appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
+      LOG4CPLUS_TEXT("%D{%Y-%m-%dT%H:%M:%S.%q} %-5p %m%n")));
+}
+
 log4cplus::SharedAppenderPtr MakeAppender(
     const settings::LoggingSettings& settings) {
   log4cplus::SharedAppenderPtr appender;
@@ -41,8 +46,7 @@
   } else {
     appender = new log4cplus::FileAppender(settings.file, std::ios_base::app);
   }
-  appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
-      LOG4CPLUS_TEXT("%D{%Y-%m-%dT%H:%M:%S.%q} %-5p %m%n")));
+  SetLayout(appender);
   return appender;
 }
 
@@ -85,6 +89,14 @@
   EventLogger().setLogLevel(TurnLevel(settings.level));
 }
 
+EventLog::EventLog(const EventLogOptions& options) {
+  log4cplus::initialize();
+  SetLayout(options.appender);
+  EventLogger().removeAllAppenders();
+  EventLogger().addAppender(options.appender);
+  EventLogger().setLogLevel(TurnLevel(options.level));
+}
+
 EventLog::~EventLog() { EventLogger().removeAllAppenders(); }
 
 void EventLog::Write(Event event, Fields fields) {
--- a/packages/daemon/src/operators/commands/plan_and_confirm.cpp
+++ b/packages/daemon/src/operators/commands/plan_and_confirm.cpp
@@ -10,7 +10,7 @@
 namespace lycheewell::daemon::operators::commands {
 namespace asio = boost::asio;
 namespace configuration = core::configuration;
-namespace http = platform::http;
+namespace http = io::http;
 namespace json = boost::json;
 
 using configuration::ChangeRecord;
@@ -311,8 +311,8 @@
       co_return MakeError(http::Status::conflict, "disruptive", disruptions);
     }
     const auto appended = co_await context.follower.Append(std::move(record));
-    const auto* error = std::get_if<platform::log::LogError>(&appended);
-    using platform::log::LogErrorKind;
+    const auto* error = std::get_if<io::log::LogError>(&appended);
+    using io::log::LogErrorKind;
     if (error != nullptr && error->kind != LogErrorKind::kUnknown) {
       co_return MakeError(http::Status::service_unavailable, "log-unreachable",
                           {"nothing was changed: " + error->detail});
--- a/packages/daemon/src/operators/operators_context.cpp
+++ b/packages/daemon/src/operators/operators_context.cpp
@@ -4,7 +4,7 @@
 
 namespace lycheewell::daemon::operators {
 namespace json = boost::json;
-namespace http = platform::http;
+namespace http = io::http;
 
 http::Response MakeError(http::Status status, const std::string& kind,
                          const std::vector<std::string>& problems) {
--- a/packages/daemon/src/operators/operators_port.cpp
+++ b/packages/daemon/src/operators/operators_port.cpp
@@ -9,7 +9,7 @@
 
 namespace lycheewell::daemon::operators {
 namespace asio = boost::asio;
-namespace http = platform::http;
+namespace http = io::http;
 namespace json = boost::json;
 
 namespace {
@@ -39,7 +39,7 @@
 }
 
 asio::awaitable<std::optional<http::Response>> OperatorsPort::Handle(
-    http::Request request, platform::async::CancellationPointer) {
+    http::Request request, io::async::CancellationPointer) {
   const std::string method(http::View(request.method_string()));
   OperatorRequest operator_request{
       .target = http::SplitTarget(http::View(request.target())),
--- a/packages/daemon/src/operators/queries/reports.cpp
+++ b/packages/daemon/src/operators/queries/reports.cpp
@@ -10,7 +10,7 @@
 
 namespace lycheewell::daemon::operators::queries {
 namespace configuration = core::configuration;
-namespace http = platform::http;
+namespace http = io::http;
 namespace json = boost::json;
 
 using configuration::HistoryEntry;
--- a/packages/daemon/src/requests/attempt_gate.cpp
+++ b/packages/daemon/src/requests/attempt_gate.cpp
@@ -178,7 +178,7 @@
 
 asio::awaitable<Ballot> AttemptGate::CollectVotes(const Call& call,
                                                   attempts::Group group) {
-  using BallotWaiter = platform::async::Waiter<bool>;
+  using BallotWaiter = io::async::Waiter<bool>;
   struct Shared {
     explicit Shared(std::size_t size) : ballot(size) {}
     std::mutex mutex;
--- a/packages/daemon/src/requests/call.cpp
+++ b/packages/daemon/src/requests/call.cpp
@@ -8,7 +8,7 @@
 namespace lycheewell::daemon::requests {
 namespace {
 
-namespace http = platform::http;
+namespace http = io::http;
 
 constexpr int kMillisecondsPerSecond = 1000;
 
--- a/packages/daemon/src/requests/dispatcher.cpp
+++ b/packages/daemon/src/requests/dispatcher.cpp
@@ -9,11 +9,11 @@
 
 namespace lycheewell::daemon::requests {
 namespace asio = boost::asio;
-namespace http = platform::http;
+namespace http = io::http;
 
 using core::overload::QueueEntry;
-using platform::http::ExchangeError;
-using platform::http::ExchangeErrorKind;
+using io::http::ExchangeError;
+using io::http::ExchangeErrorKind;
 
 namespace {
 
@@ -117,7 +117,7 @@
 }
 
 asio::awaitable<CallResult> Dispatcher::Dispatch(
-    const Call& call, platform::async::CancellationPointer cancellation) {
+    const Call& call, io::async::CancellationPointer cancellation) {
   this->services.metrics.Count(metrics::Counter::kDispatches);
   const auto standing =
       this->services.tables.crashes.Lock()->StandingOf(call.fingerprint, Now());
@@ -141,7 +141,7 @@
 }
 
 asio::awaitable<bool> Dispatcher::EnterSuspect(const Call& call) {
-  auto waiter = std::make_shared<platform::async::Waiter<bool>>(
+  auto waiter = std::make_shared<io::async::Waiter<bool>>(
       co_await asio::this_coro::executor);
   {
     auto locked = this->state.Lock();
@@ -201,7 +201,7 @@
 }
 
 asio::awaitable<CallResult> Dispatcher::RunInTurn(
-    const Call& call, platform::async::CancellationPointer cancellation) {
+    const Call& call, io::async::CancellationPointer cancellation) {
   auto waiter =
       std::make_shared<TurnWaiter>(co_await asio::this_coro::executor);
   std::uint64_t ticket = 0;
@@ -250,7 +250,7 @@
     displaced->Deliver(Turn::kDisplaced);
   }
   if (!starts_now) {
-    const platform::async::CancellationCallback on_cancel(
+    const io::async::CancellationCallback on_cancel(
         cancellation, [waiter] { waiter->Deliver(Turn::kCancelled); });
     const auto turn = co_await waiter->Wait(call.deadline - Now());
     if (turn != Turn::kRun) {
@@ -298,7 +298,7 @@
 
 asio::awaitable<CallResult> Dispatcher::RunAtTarget(
     const Call& call, const TargetAnnouncement& target, std::uint64_t ticket,
-    platform::async::CancellationPointer cancellation) {
+    io::async::CancellationPointer cancellation) {
   const core::Instant started = Now();
   if (call.deadline <= started) {
     co_return NotRun(kGatewayTimeout, "the deadline passed before the start");
--- a/packages/daemon/src/requests/ingress.cpp
+++ b/packages/daemon/src/requests/ingress.cpp
@@ -10,7 +10,7 @@
 
 namespace lycheewell::daemon::requests {
 namespace asio = boost::asio;
-namespace http = platform::http;
+namespace http = io::http;
 namespace json = boost::json;
 
 using core::configuration::Route;
@@ -98,7 +98,7 @@
       hooks(std::move(new_hooks)) {}
 
 asio::awaitable<std::optional<http::Response>> Ingress::HandleCaller(
-    http::Request request, platform::async::CancellationPointer cancellation) {
+    http::Request request, io::async::CancellationPointer cancellation) {
   const InFlightGuard guard(this->in_flight);
   const core::Instant started = Now();
   this->services.metrics.Count(metrics::Counter::kRequests);
@@ -119,7 +119,7 @@
 
 asio::awaitable<CallResult> Ingress::ServeCaller(
     const http::Request& request,
-    platform::async::CancellationPointer cancellation,
+    io::async::CancellationPointer cancellation,
     std::string& request_id) {
   if (!this->hooks.is_ready()) {
     co_return NotRun(kUnavailable, "this daemon has no configuration yet");
@@ -248,7 +248,7 @@
 }
 
 asio::awaitable<std::optional<http::Response>> Ingress::HandleLocal(
-    http::Request request, platform::async::CancellationPointer cancellation) {
+    http::Request request, io::async::CancellationPointer cancellation) {
   const InFlightGuard guard(this->in_flight);
   const std::string target(http::View(request.target()));
   if (target == kAnnouncePath) {
@@ -270,7 +270,7 @@
 
 asio::awaitable<CallResult> Ingress::ServeLocalCall(
     const http::Request& request,
-    platform::async::CancellationPointer cancellation,
+    io::async::CancellationPointer cancellation,
     std::string& request_id) {
   const std::string target(http::View(request.target()));
   const std::string service(ServiceOf(target));
--- a/packages/daemon/src/requests/router.cpp
+++ b/packages/daemon/src/requests/router.cpp
@@ -32,7 +32,7 @@
       attempts(new_attempts) {}
 
 asio::awaitable<CallResult> Router::Route(
-    Call& call, platform::async::CancellationPointer cancellation) {
+    Call& call, io::async::CancellationPointer cancellation) {
   auto refusal = this->RefuseEarly(call);
   if (cancellation && cancellation->IsCancelled()) {
     refusal = NotRun(kGatewayTimeout, "the caller went away");
@@ -92,7 +92,7 @@
 }
 
 asio::awaitable<CallResult> Router::RouteAttempts(
-    Call& call, platform::async::CancellationPointer cancellation) {
+    Call& call, io::async::CancellationPointer cancellation) {
   core::retry::RetryCredit credit(call.retry_credit);
   std::set<core::DaemonRef> tried;
   CallResult result = NotRun(kUnavailable, "no target of this service is up");
@@ -192,7 +192,7 @@
 
 asio::awaitable<CallResult> Router::Attempt(
     const Call& call, const Choice& choice,
-    platform::async::CancellationPointer cancellation) {
+    io::async::CancellationPointer cancellation) {
   this->services.events.Write(events::Event::kRequestRouted,
                               {{"request", call.request_id},
                                {"service", call.service},
@@ -215,7 +215,7 @@
 
 asio::awaitable<CallResult> Router::Forward(
     const Call& call, const core::DaemonRef& daemon,
-    platform::async::CancellationPointer cancellation) {
+    io::async::CancellationPointer cancellation) {
   this->services.metrics.Count(metrics::Counter::kForwards);
   const core::Instant now = Now();
   const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -223,14 +223,14 @@
   if (left.count() <= 0) {
     co_return NotRun(kGatewayTimeout, "the deadline passed before the start");
   }
-  auto waiter = std::make_shared<platform::async::Waiter<peers::Answer>>(
+  auto waiter = std::make_shared<io::async::Waiter<peers::Answer>>(
       co_await asio::this_coro::executor);
   peers::Envelope envelope;
   *envelope.mutable_forward() = ToForward(call, now);
   const std::uint64_t correlation_id = this->services.transport->Request(
       daemon.id, std::move(envelope), left + kAnswerGrace,
       [waiter](peers::Answer answer) { waiter->Deliver(std::move(answer)); });
-  const platform::async::CancellationCallback on_cancel(
+  const io::async::CancellationCallback on_cancel(
       cancellation, [this, waiter, correlation_id, id = daemon.id] {
         peers::Envelope cancel;
         cancel.mutable_cancel();
--- a/packages/daemon/src/settings/settings.cpp
+++ b/packages/daemon/src/settings/settings.cpp
@@ -5,7 +5,7 @@
 #include <set>
 #include <sstream>
 
-#include "lycheewell/platform/http/address.h"
+#include "lycheewell/io/http/address.h"
 
 namespace lycheewell::daemon::settings {
 namespace json = boost::json;
@@ -55,7 +55,7 @@
 
   std::string Address(std::string_view field) {
     std::string address = this->RequiredString(field);
-    if (!address.empty() && !platform::http::TryParseEndpoint(address)) {
+    if (!address.empty() && !io::http::TryParseEndpoint(address)) {
       this->Report(field, "is not an IP number and port");
     }
     return address;
--- a/packages/platform/include/lycheewell/platform/async/cancellation.h
+++ b/packages/io/include/lycheewell/io/async/cancellation.h
@@ -1,13 +1,13 @@
 // Tells the work for one request that nobody waits for it any more.
-#ifndef LYCHEEWELL_PLATFORM_ASYNC_CANCELLATION_H_
-#define LYCHEEWELL_PLATFORM_ASYNC_CANCELLATION_H_
+#ifndef LYCHEEWELL_IO_ASYNC_CANCELLATION_H_
+#define LYCHEEWELL_IO_ASYNC_CANCELLATION_H_
 
 #include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
 
-namespace lycheewell::platform::async {
+namespace lycheewell::io::async {
 
 // Safe to use from any thread. Callbacks run once, on the thread that cancels,
 // without a lock held.
@@ -51,6 +51,6 @@
   Cancellation::CallbackId id = 0;
 };
 
-}  // namespace lycheewell::platform::async
+}  // namespace lycheewell::io::async
 
-#endif  // LYCHEEWELL_PLATFORM_ASYNC_CANCELLATION_H_
+#endif  // LYCHEEWELL_IO_ASYNC_CANCELLATION_H_
--- a/packages/platform/include/lycheewell/platform/async/waiter.h
+++ b/packages/io/include/lycheewell/io/async/waiter.h
@@ -1,6 +1,6 @@
 // Waits in a coroutine for one value that another thread delivers.
-#ifndef LYCHEEWELL_PLATFORM_ASYNC_WAITER_H_
-#define LYCHEEWELL_PLATFORM_ASYNC_WAITER_H_
+#ifndef LYCHEEWELL_IO_ASYNC_WAITER_H_
+#define LYCHEEWELL_IO_ASYNC_WAITER_H_
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -12,7 +12,7 @@
 #include <optional>
 #include <utility>
 
-namespace lycheewell::platform::async {
+namespace lycheewell::io::async {
 
 // The first value delivered counts; later ones are dropped. Held by
 // shared_ptr by the coroutine and by whoever may deliver.
@@ -52,6 +52,6 @@
   boost::asio::steady_timer timer;
 };
 
-}  // namespace lycheewell::platform::async
+}  // namespace lycheewell::io::async
 
-#endif  // LYCHEEWELL_PLATFORM_ASYNC_WAITER_H_
+#endif  // LYCHEEWELL_IO_ASYNC_WAITER_H_
--- a/packages/platform/include/lycheewell/platform/http/client.h
+++ b/packages/io/include/lycheewell/io/http/client.h
@@ -1,6 +1,6 @@
 // HTTP/1.1 client with a pool of kept connections.
-#ifndef LYCHEEWELL_PLATFORM_HTTP_CLIENT_H_
-#define LYCHEEWELL_PLATFORM_HTTP_CLIENT_H_
+#ifndef LYCHEEWELL_IO_HTTP_CLIENT_H_
+#define LYCHEEWELL_IO_HTTP_CLIENT_H_
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -12,10 +12,10 @@
 #include <variant>
 #include <vector>
 
-#include "lycheewell/platform/async/cancellation.h"
-#include "lycheewell/platform/http/message.h"
+#include "lycheewell/io/async/cancellation.h"
+#include "lycheewell/io/http/message.h"
 
-namespace lycheewell::platform::http {
+namespace lycheewell::io::http {
 
 // How far an exchange came that gave no whole answer.
 enum class ExchangeErrorKind {
@@ -71,6 +71,6 @@
   std::map<std::string, std::vector<ConnectionPointer>> idle;
 };
 
-}  // namespace lycheewell::platform::http
+}  // namespace lycheewell::io::http
 
-#endif  // LYCHEEWELL_PLATFORM_HTTP_CLIENT_H_
+#endif  // LYCHEEWELL_IO_HTTP_CLIENT_H_
--- a/packages/platform/include/lycheewell/platform/http/message.h
+++ b/packages/io/include/lycheewell/io/http/message.h
@@ -1,12 +1,12 @@
 // HTTP types shared by servers and clients.
-#ifndef LYCHEEWELL_PLATFORM_HTTP_MESSAGE_H_
-#define LYCHEEWELL_PLATFORM_HTTP_MESSAGE_H_
+#ifndef LYCHEEWELL_IO_HTTP_MESSAGE_H_
+#define LYCHEEWELL_IO_HTTP_MESSAGE_H_
 
 #include <boost/beast/http.hpp>
 #include <string>
 #include <string_view>
 
-namespace lycheewell::platform::http {
+namespace lycheewell::io::http {
 
 using Request = boost::beast::http::request<boost::beast::http::string_body>;
 using Response = boost::beast::http::response<boost::beast::http::string_body>;
@@ -39,6 +39,6 @@
   return {text.data(), text.size()};
 }
 
-}  // namespace lycheewell::platform::http
+}  // namespace lycheewell::io::http
 
-#endif  // LYCHEEWELL_PLATFORM_HTTP_MESSAGE_H_
+#endif  // LYCHEEWELL_IO_HTTP_MESSAGE_H_
--- a/packages/platform/include/lycheewell/platform/http/server.h
+++ b/packages/io/include/lycheewell/io/http/server.h
@@ -1,7 +1,7 @@
 // HTTP/1.1 server: keep-alive, pipelining, size limits, slow callers, callers
 // that go away, and a graceful stop.
-#ifndef LYCHEEWELL_PLATFORM_HTTP_SERVER_H_
-#define LYCHEEWELL_PLATFORM_HTTP_SERVER_H_
+#ifndef LYCHEEWELL_IO_HTTP_SERVER_H_
+#define LYCHEEWELL_IO_HTTP_SERVER_H_
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -12,10 +12,10 @@
 #include <optional>
 #include <string>
 
-#include "lycheewell/platform/async/cancellation.h"
-#include "lycheewell/platform/http/message.h"
+#include "lycheewell/io/async/cancellation.h"
+#include "lycheewell/io/http/message.h"
 
-namespace lycheewell::platform::http {
+namespace lycheewell::io::http {
 
 // Answers one request. `cancellation` fires when the caller goes away. Without
 // an answer the connection is closed.
@@ -60,6 +60,6 @@
   std::shared_ptr<Shared> shared;
 };
 
-}  // namespace lycheewell::platform::http
+}  // namespace lycheewell::io::http
 
-#endif  // LYCHEEWELL_PLATFORM_HTTP_SERVER_H_
+#endif  // LYCHEEWELL_IO_HTTP_SERVER_H_
--- a/packages/platform/include/lycheewell/platform/log/http_log.h
+++ b/packages/io/include/lycheewell/io/log/http_log.h
@@ -2,16 +2,16 @@
 //   POST /records                        body: the record; 201 {"offset": N}
 //   GET  /records?from=&limit=&wait_ms=  200 {"first": F, "end": E,
 //                                             "from": N, "records": [...]}
-#ifndef LYCHEEWELL_PLATFORM_LOG_HTTP_LOG_H_
-#define LYCHEEWELL_PLATFORM_LOG_HTTP_LOG_H_
+#ifndef LYCHEEWELL_IO_LOG_HTTP_LOG_H_
+#define LYCHEEWELL_IO_LOG_HTTP_LOG_H_
 
 #include <memory>
 #include <string>
 
-#include "lycheewell/platform/http/client.h"
-#include "lycheewell/platform/log/log_service.h"
+#include "lycheewell/io/http/client.h"
+#include "lycheewell/io/log/log_service.h"
 
-namespace lycheewell::platform::log {
+namespace lycheewell::io::log {
 
 struct HttpLogOptions {
   std::string address;  // "host:port"
@@ -21,6 +21,6 @@
 LogService MakeHttpLog(const std::shared_ptr<http::Client>& client,
                        HttpLogOptions options);
 
-}  // namespace lycheewell::platform::log
+}  // namespace lycheewell::io::log
 
-#endif  // LYCHEEWELL_PLATFORM_LOG_HTTP_LOG_H_
+#endif  // LYCHEEWELL_IO_LOG_HTTP_LOG_H_
--- a/packages/platform/include/lycheewell/platform/log/log_service.h
+++ b/packages/io/include/lycheewell/io/log/log_service.h
@@ -1,6 +1,6 @@
 // The platform's append-only log, behind hooks.
-#ifndef LYCHEEWELL_PLATFORM_LOG_LOG_SERVICE_H_
-#define LYCHEEWELL_PLATFORM_LOG_LOG_SERVICE_H_
+#ifndef LYCHEEWELL_IO_LOG_LOG_SERVICE_H_
+#define LYCHEEWELL_IO_LOG_LOG_SERVICE_H_
 
 #include <boost/asio/awaitable.hpp>
 #include <chrono>
@@ -10,7 +10,7 @@
 #include <variant>
 #include <vector>
 
-namespace lycheewell::platform::log {
+namespace lycheewell::io::log {
 
 struct LogRecord {
   std::uint64_t offset = 0;
@@ -54,6 +54,6 @@
   std::function<boost::asio::awaitable<AppendResult>(std::string body)> append;
 };
 
-}  // namespace lycheewell::platform::log
+}  // namespace lycheewell::io::log
 
-#endif  // LYCHEEWELL_PLATFORM_LOG_LOG_SERVICE_H_
+#endif  // LYCHEEWELL_IO_LOG_LOG_SERVICE_H_
--- a/packages/platform/src/async/cancellation.cpp
+++ b/packages/io/src/async/cancellation.cpp
@@ -1,6 +1,6 @@
-#include "lycheewell/platform/async/cancellation.h"
+#include "lycheewell/io/async/cancellation.h"
 
-namespace lycheewell::platform::async {
+namespace lycheewell::io::async {
 
 void Cancellation::Cancel() {
   std::map<CallbackId, std::function<void()>> to_call;
@@ -55,4 +55,4 @@
   }
 }
 
-}  // namespace lycheewell::platform::async
+}  // namespace lycheewell::io::async
--- a/packages/platform/src/http/address.cpp
+++ b/packages/io/src/http/address.cpp
@@ -1,10 +1,10 @@
-#include "lycheewell/platform/http/address.h"
+#include "lycheewell/io/http/address.h"
 
 #include <charconv>
 #include <stdexcept>
 #include <string>
 
-namespace lycheewell::platform::http {
+namespace lycheewell::io::http {
 
 using boost::asio::ip::tcp;
 
@@ -39,4 +39,4 @@
   return *endpoint;
 }
 
-}  // namespace lycheewell::platform::http
+}  // namespace lycheewell::io::http
--- a/packages/platform/src/http/client.cpp
+++ b/packages/io/src/http/client.cpp
@@ -1,4 +1,4 @@
-#include "lycheewell/platform/http/client.h"
+#include "lycheewell/io/http/client.h"
 
 #include <sys/socket.h>
 
@@ -11,9 +11,9 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 
-#include "lycheewell/platform/http/address.h"
+#include "lycheewell/io/http/address.h"
 
-namespace lycheewell::platform::http {
+namespace lycheewell::io::http {
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 using tcp = asio::ip::tcp;
@@ -191,4 +191,4 @@
   co_return !error;
 }
 
-}  // namespace lycheewell::platform::http
+}  // namespace lycheewell::io::http
--- a/packages/platform/src/http/message.cpp
+++ b/packages/io/src/http/message.cpp
@@ -1,9 +1,9 @@
-#include "lycheewell/platform/http/message.h"
+#include "lycheewell/io/http/message.h"
 
 #include <cctype>
 #include <cstdio>
 
-namespace lycheewell::platform::http {
+namespace lycheewell::io::http {
 namespace {
 
 int HexDigit(char digit) {
@@ -91,4 +91,4 @@
   return MakeResponse(status, "application/json", std::move(body));
 }
 
-}  // namespace lycheewell::platform::http
+}  // namespace lycheewell::io::http
--- a/packages/platform/src/http/server.cpp
+++ b/packages/io/src/http/server.cpp
@@ -1,4 +1,4 @@
-#include "lycheewell/platform/http/server.h"
+#include "lycheewell/io/http/server.h"
 
 #include <sys/socket.h>
 
@@ -12,9 +12,9 @@
 #include <mutex>
 #include <set>
 
-#include "lycheewell/platform/http/address.h"
+#include "lycheewell/io/http/address.h"
 
-namespace lycheewell::platform::http {
+namespace lycheewell::io::http {
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 using tcp = asio::ip::tcp;
@@ -314,4 +314,4 @@
   return this->shared->connection_count();
 }
 
-}  // namespace lycheewell::platform::http
+}  // namespace lycheewell::io::http
--- a/packages/platform/src/log/http_log.cpp
+++ b/packages/io/src/log/http_log.cpp
@@ -1,8 +1,8 @@
-#include "lycheewell/platform/log/http_log.h"
+#include "lycheewell/io/log/http_log.h"
 
 #include <boost/json.hpp>
 
-namespace lycheewell::platform::log {
+namespace lycheewell::io::log {
 namespace asio = boost::asio;
 namespace json = boost::json;
 
@@ -107,4 +107,4 @@
               }};
 }
 
-}  // namespace lycheewell::platform::log
+}  // namespace lycheewell::io::log
--- a/packages/daemon/src/main.cpp
+++ b/packages/lycheewelld/src/main.cpp
@@ -2,18 +2,26 @@
 #include <signal.h>
 #include <tclap/CmdLine.h>
 
+#include <cstdlib>
+#include <fstream>
 #include <iostream>
+#include <sstream>
 #include <thread>
 
 #include "lycheewell/daemon/daemon.h"
 #include "lycheewell/daemon/events/event_catalogue.h"
 #include "lycheewell/daemon/settings/settings.h"
 #include "lycheewell/peers/transport.h"
+#include "lycheewell/platform/adapter.h"
+#include "lycheewell/sidecar/settings.h"
+#include "lycheewell/sidecar/sidecar.h"
 
 namespace {
 
 using lycheewell::daemon::Daemon;
+namespace platform = lycheewell::platform;
 namespace settings = lycheewell::daemon::settings;
+namespace sidecar = lycheewell::sidecar;
 namespace events = lycheewell::daemon::events;
 
 constexpr int kExitOk = 0;
@@ -56,6 +64,35 @@
   }).detach();
 }
 
+std::string ReadFile(const std::string& path) {
+  std::ifstream file(path);
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+int RunSidecar(const std::string& path, const std::string& text,
+               bool check_only) {
+  auto parsed = sidecar::ParseSettings(text);
+  if (const auto* problems = std::get_if<settings::Problems>(&parsed)) {
+    return PrintProblems(*problems, path);
+  }
+  if (check_only) {
+    std::cout << path << ": the settings are valid\n";
+    return kExitOk;
+  }
+  try {
+    sidecar::RunSidecar({.settings = std::get<sidecar::Settings>(parsed),
+                         .settings_path = path,
+                         .dialect = platform::MakeDialect(),
+                         .make_store = platform::MakeStore});
+  } catch (const std::exception& problem) {
+    std::cerr << "lycheewelld cannot run: " << problem.what() << "\n";
+    return kExitFailed;
+  }
+  return kExitOk;
+}
+
 int RunDaemon(settings::Settings checked) {
   sigset_t signals;
   sigemptyset(&signals);
@@ -96,16 +133,25 @@
     if (keys_argument.getValue()) {
       return PrintNewKeys();
     }
-    if (!path_argument.isSet()) {
+    std::string path = path_argument.getValue();
+    if (const char* from_platform = std::getenv(platform::kSettingsVariable);
+        path.empty() && from_platform != nullptr) {
+      path = from_platform;
+    }
+    if (path.empty()) {
       std::cerr << "lycheewelld: --settings FILE is needed; see --help\n";
       return kExitBadSettings;
     }
-    auto loaded = settings::LoadSettings(path_argument.getValue());
+    if (const std::string text = ReadFile(path);
+        sidecar::IsSidecarSettings(text)) {
+      return RunSidecar(path, text, check_argument.getValue());
+    }
+    auto loaded = settings::LoadSettings(path);
     if (const auto* problems = std::get_if<settings::Problems>(&loaded)) {
-      return PrintProblems(*problems, path_argument.getValue());
+      return PrintProblems(*problems, path);
     }
     if (check_argument.getValue()) {
-      std::cout << path_argument.getValue() << ": the settings are valid\n";
+      std::cout << path << ": the settings are valid\n";
       return kExitOk;
     }
     return RunDaemon(std::get<settings::Settings>(std::move(loaded)));
--- /dev/null
+++ b/packages/sidecar/include/lycheewell/sidecar/http/client_connection.h
@@ -0,0 +1,99 @@
+// One HTTP/1.1 connection to a target or to the store.
+#ifndef LYCHEEWELL_SIDECAR_HTTP_CLIENT_CONNECTION_H_
+#define LYCHEEWELL_SIDECAR_HTTP_CLIENT_CONNECTION_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "lycheewell/core/types.h"
+#include "lycheewell/io/http/message.h"
+
+namespace lycheewell::sidecar::http {
+
+enum class ExchangeFailure {
+  kNotSent,  // no byte of the request has left
+  kBroken,   // the request may have arrived; no whole answer came
+};
+
+struct ExchangeProblem {
+  ExchangeFailure failure = ExchangeFailure::kNotSent;
+  std::string detail;
+  bool is_refused = false;  // nothing listens at the address
+
+  bool operator==(const ExchangeProblem&) const = default;
+};
+
+using ExchangeOutcome = std::variant<io::http::Response, ExchangeProblem>;
+
+// Used on the event loop's thread only. Reads all the time, so that a close or
+// stray bytes are noticed while the connection is idle.
+class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
+ public:
+  struct Exchange {
+    std::string message;  // the whole request as sent
+    bool is_head = false;
+    // Whether an answer belongs to this request; others are dropped.
+    std::function<bool(const io::http::Response&)> is_mine;
+    std::function<void(ExchangeOutcome)> done;
+  };
+
+  ClientConnection(boost::asio::io_context& context,
+                   boost::asio::ip::tcp::endpoint endpoint);
+
+  // Commands.
+
+  // Only while idle. `done` is called once, never from within this call.
+  void Start(Exchange exchange);
+
+  // Ends a running exchange as broken without calling `done`.
+  void Abort();
+
+  // Queries.
+
+  // Idle, open, and nothing unexpected has been received.
+  bool is_usable() const;
+  bool is_connected() const { return this->connected; }
+  core::Instant idle_since() const { return this->became_idle_at; }
+  // How long the other side keeps the connection when idle, where it said so.
+  std::optional<std::chrono::seconds> stated_idle_limit() const {
+    return this->idle_limit;
+  }
+
+ private:
+  using Parser = boost::beast::http::response_parser<
+      boost::beast::http::string_body>;
+
+  void Connect();
+  void Write();
+  void Read();
+  void Consume(bool at_end);
+  void CompleteAnswer();
+  void Fail(const std::string& detail, bool is_refused = false);
+  void CloseSocket();
+
+  boost::asio::ip::tcp::socket socket;
+  boost::asio::ip::tcp::endpoint endpoint;
+  boost::beast::flat_buffer buffer;
+  std::optional<Parser> parser;
+  std::optional<Exchange> current;
+  std::shared_ptr<std::string> outgoing;
+  std::optional<std::chrono::seconds> idle_limit;
+  core::Instant became_idle_at;
+  bool connected = false;
+  bool closed = false;
+  bool sent_any = false;
+  bool writing = false;
+  bool must_close = false;
+};
+
+}  // namespace lycheewell::sidecar::http
+
+#endif  // LYCHEEWELL_SIDECAR_HTTP_CLIENT_CONNECTION_H_
--- /dev/null
+++ b/packages/sidecar/include/lycheewell/sidecar/http/server.h
@@ -0,0 +1,116 @@
+// HTTP/1.1 server of the event loop, for clients and targets.
+#ifndef LYCHEEWELL_SIDECAR_HTTP_SERVER_H_
+#define LYCHEEWELL_SIDECAR_HTTP_SERVER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include "lycheewell/core/types.h"
+#include "lycheewell/io/http/message.h"
+#include "lycheewell/sidecar/timer_queue.h"
+
+namespace lycheewell::sidecar::http {
+
+class ServerConnection;
+
+// An answer; Content-Length and Connection are added when it is sent.
+struct Answer {
+  unsigned status = 200;
+  std::string header_lines;  // "Name: value\r\n" each
+  std::string body;
+  bool closes = false;
+
+  bool operator==(const Answer&) const = default;
+};
+
+// One request that waits for its answer.
+class ServerExchange {
+ public:
+  ServerExchange(std::weak_ptr<ServerConnection> connection,
+                 io::http::Request request, bool is_from_own_vm);
+
+  // Commands.
+
+  // Sends the answer; only the first call counts.
+  void Send(const Answer& answer);
+
+  // `action` runs when the client leaves before the answer is sent.
+  void OnGone(std::function<void()> action) { this->gone = std::move(action); }
+
+  // Queries.
+
+  const io::http::Request& request() const { return this->message; }
+  io::http::Request& request() { return this->message; }
+  bool is_answered() const { return this->answered; }
+  bool is_from_own_vm() const { return this->own_vm; }
+
+ private:
+  friend class ServerConnection;
+  std::weak_ptr<ServerConnection> connection;
+  io::http::Request message;
+  std::function<void()> gone;
+  bool own_vm;
+  bool answered = false;
+};
+
+using ExchangePointer = std::shared_ptr<ServerExchange>;
+
+struct ServerLimits {
+  std::uint32_t header_bytes = 16 * 1024;
+  std::uint64_t body_bytes = 1024 * 1024;
+  core::Duration header_timeout = std::chrono::seconds(3);
+  core::Duration idle_timeout = std::chrono::seconds(15);
+
+  bool operator==(const ServerLimits&) const = default;
+};
+
+struct ServerOptions {
+  boost::asio::ip::tcp::endpoint endpoint;
+  std::function<void(ExchangePointer)> handler;
+  // Asked for each request, so that limits can change.
+  std::function<ServerLimits()> limits;
+  // Told of requests that were answered without the handler.
+  std::function<void(unsigned status, std::string_view reason)> on_bad_request;
+};
+
+class Server {
+ public:
+  // Binds at once; throws boost::system::system_error when it cannot.
+  Server(boost::asio::io_context& context, TimerQueue& timers,
+         ServerOptions options);
+
+  // Commands.
+
+  void Start();
+
+  // From now on answers end their connections.
+  void BeginDrain() { this->draining = true; }
+
+  // Accepts no more and closes the connections that wait for a request.
+  void Close();
+
+  // Queries.
+
+  bool is_draining() const { return this->draining; }
+  std::size_t connection_count() const { return this->connections.size(); }
+
+ private:
+  friend class ServerConnection;
+  void Accept();
+
+  boost::asio::io_context& context;
+  TimerQueue& timers;
+  ServerOptions options;
+  boost::asio::ip::tcp::acceptor acceptor;
+  std::set<std::shared_ptr<ServerConnection>> connections;
+  bool draining = false;
+};
+
+}  // namespace lycheewell::sidecar::http
+
+#endif  // LYCHEEWELL_SIDECAR_HTTP_SERVER_H_
--- /dev/null
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/front.h
@@ -0,0 +1,92 @@
+// Serves requests that begin on this VM: clients' and the target's own calls.
+#ifndef LYCHEEWELL_SIDECAR_REQUESTS_FRONT_H_
+#define LYCHEEWELL_SIDECAR_REQUESTS_FRONT_H_
+
+#include <mesh.pb.h>
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+#include "lycheewell/core/retry/window_budget.h"
+#include "lycheewell/core/routing/route_table.h"
+#include "lycheewell/core/routing/target_selector.h"
+#include "lycheewell/sidecar/counters.h"
+#include "lycheewell/sidecar/decision_log.h"
+#include "lycheewell/sidecar/hooks.h"
+#include "lycheewell/sidecar/http/server.h"
+#include "lycheewell/sidecar/links/mesh.h"
+#include "lycheewell/sidecar/manifest/manifest_keeper.h"
+#include "lycheewell/sidecar/requests/accounts.h"
+#include "lycheewell/sidecar/requests/gate.h"
+#include "lycheewell/sidecar/settings.h"
+
+namespace lycheewell::sidecar::requests {
+
+class Front {
+ public:
+  struct Options {
+    const Settings& settings;
+    const DialectHooks& dialect;
+    manifest::ManifestKeeper& manifest;
+    links::Mesh& mesh;
+    Accounts& accounts;
+    Gate& gate;
+    Counters& counters;
+  };
+
+  Front(TimerQueue& timers, DecisionLog& log, Options options);
+
+  // Commands.
+
+  void Serve(http::ExchangePointer exchange);
+
+  // A reply to a call that went to a peer.
+  void OnReply(const std::string& member, mesh::Reply& reply);
+
+  // Calls that `member` has not answered have no answer.
+  void OnLost(const std::string& member);
+
+  core::routing::TargetSelector& selector() { return this->targets; }
+
+  // Queries.
+
+  std::size_t open_requests() const { return this->open; }
+
+ private:
+  struct Pending;
+  using PendingPointer = std::shared_ptr<Pending>;
+
+  void Admit(const PendingPointer& pending);
+  void Dispatch(const PendingPointer& pending);
+  void SendTo(const PendingPointer& pending, const core::routing::Choice& choice);
+  void OnOutcome(const PendingPointer& pending, GateReply reply);
+  void OnNotRun(const PendingPointer& pending, const GateReply& reply);
+  void OnTimeout(const PendingPointer& pending);
+  void Withdraw(const PendingPointer& pending);
+  void Refuse(const PendingPointer& pending, unsigned status,
+              std::string_view reason, core::Duration retry_after);
+  void Fail(const PendingPointer& pending, unsigned status,
+            std::string_view reason);
+  void Close(const PendingPointer& pending);
+  core::retry::WindowBudget& BudgetOf(const std::string& service);
+
+  TimerQueue& timers;
+  DecisionLog& log;
+  Options options;
+  core::routing::TargetSelector targets;
+  std::map<std::string, core::retry::WindowBudget> budgets;
+  std::map<std::string, core::routing::WeightedTurns> turns;
+  std::unordered_map<std::uint64_t, PendingPointer> remote;  // by call id
+  std::mt19937_64 generator;
+  core::RandomSource random;
+  std::uint64_t last_call = 0;
+  std::size_t open = 0;
+};
+
+}  // namespace lycheewell::sidecar::requests
+
+#endif  // LYCHEEWELL_SIDECAR_REQUESTS_FRONT_H_
--- /dev/null
+++ b/packages/sidecar/src/counters.cpp
@@ -0,0 +1,65 @@
+#include "lycheewell/sidecar/counters.h"
+
+#include <sstream>
+
+namespace lycheewell::sidecar {
+
+void Counters::Count(std::string_view name, std::string_view reason,
+                     std::uint64_t amount) {
+  auto by_name = this->counters.find(name);
+  if (by_name == this->counters.end()) {
+    by_name = this->counters.try_emplace(std::string(name)).first;
+  }
+  auto by_reason = by_name->second.find(reason);
+  if (by_reason == by_name->second.end()) {
+    by_reason = by_name->second.try_emplace(std::string(reason)).first;
+  }
+  by_reason->second += amount;
+}
+
+void Counters::Observe(std::string_view name, core::Duration duration) {
+  auto found = this->histograms.find(name);
+  if (found == this->histograms.end()) {
+    found = this->histograms.try_emplace(std::string(name)).first;
+  }
+  Histogram& histogram = found->second;
+  const double milliseconds =
+      std::chrono::duration<double, std::milli>(duration).count();
+  std::size_t bucket = 0;
+  while (bucket < kBounds.size() && milliseconds > kBounds[bucket]) {
+    ++bucket;
+  }
+  ++histogram.buckets[bucket];
+  ++histogram.count;
+  histogram.sum_seconds += milliseconds / 1000;
+}
+
+std::string Counters::Render() const {
+  std::ostringstream text;
+  for (const auto& [name, by_reason] : this->counters) {
+    for (const auto& [reason, value] : by_reason) {
+      text << "lycheewell_" << name << "_total";
+      if (!reason.empty()) {
+        text << "{reason=\"" << reason << "\"}";
+      }
+      text << ' ' << value << '\n';
+    }
+  }
+  for (const auto& [name, histogram] : this->histograms) {
+    std::uint64_t below = 0;
+    for (std::size_t i = 0; i < kBounds.size(); ++i) {
+      below += histogram.buckets[i];
+      text << "lycheewell_" << name << "_seconds_bucket{le=\""
+           << kBounds[i] / 1000.0 << "\"} " << below << '\n';
+    }
+    text << "lycheewell_" << name << "_seconds_bucket{le=\"+Inf\"} "
+         << histogram.count << '\n'
+         << "lycheewell_" << name << "_seconds_sum " << histogram.sum_seconds
+         << '\n'
+         << "lycheewell_" << name << "_seconds_count " << histogram.count
+         << '\n';
+  }
+  return text.str();
+}
+
+}  // namespace lycheewell::sidecar
--- /dev/null
+++ b/packages/sidecar/src/http/client_connection.cpp
@@ -0,0 +1,219 @@
+#include "lycheewell/sidecar/http/client_connection.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <charconv>
+
+#include "lycheewell/sidecar/http/socket_options.h"
+
+namespace lycheewell::sidecar::http {
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+// One read's buffer: most answers fit.
+constexpr std::size_t kReadSize = 8 * 1024;
+
+// Largest answer held in memory.
+constexpr std::uint64_t kMostAnswerBytes = 64ULL * 1024 * 1024;
+
+// The N of "Keep-Alive: timeout=N".
+std::optional<std::chrono::seconds> ParseKeepAlive(std::string_view value) {
+  constexpr std::string_view kName = "timeout=";
+  const std::size_t found = value.find(kName);
+  if (found == std::string_view::npos) {
+    return std::nullopt;
+  }
+  int seconds = 0;
+  const char* begin = value.data() + found + kName.size();
+  const auto [end, error] =
+      std::from_chars(begin, value.data() + value.size(), seconds);
+  if (error != std::errc() || end == begin || seconds < 0) {
+    return std::nullopt;
+  }
+  return std::chrono::seconds(seconds);
+}
+
+}  // namespace
+
+ClientConnection::ClientConnection(asio::io_context& context,
+                                   tcp::endpoint new_endpoint)
+    : socket(context), endpoint(std::move(new_endpoint)) {}
+
+bool ClientConnection::is_usable() const {
+  return this->connected && !this->closed && !this->current &&
+         !this->writing && !this->must_close && this->buffer.size() == 0;
+}
+
+void ClientConnection::Start(Exchange exchange) {
+  this->current.emplace(std::move(exchange));
+  this->outgoing =
+      std::make_shared<std::string>(std::move(this->current->message));
+  this->sent_any = false;
+  if (this->connected) {
+    this->Write();
+  } else {
+    this->Connect();
+  }
+}
+
+void ClientConnection::Connect() {
+  boost::system::error_code error;
+  this->socket.open(tcp::v4(), error);
+  if (error) {  // for example no descriptors left
+    asio::post(this->socket.get_executor(),
+               [self = this->shared_from_this(), error] {
+                 self->Fail(error.message());
+               });
+    return;
+  }
+  SetSocketOptions(this->socket);
+  this->socket.async_connect(
+      this->endpoint, [self = this->shared_from_this()](
+                          const boost::system::error_code& connect_error) {
+        if (self->closed) {
+          return;
+        }
+        if (connect_error) {
+          self->Fail(connect_error.message(),
+                     connect_error == asio::error::connection_refused);
+          return;
+        }
+        self->connected = true;
+        self->Read();
+        self->Write();
+      });
+}
+
+void ClientConnection::Write() {
+  this->writing = true;
+  this->sent_any = true;
+  asio::async_write(
+      this->socket, asio::buffer(*this->outgoing),
+      [self = this->shared_from_this(), message = this->outgoing](
+          const boost::system::error_code& error, std::size_t) {
+        self->writing = false;
+        if (error && !self->closed) {
+          // The answer may still arrive before the close does.
+          self->must_close = true;
+        }
+      });
+}
+
+void ClientConnection::Read() {
+  this->socket.async_read_some(
+      this->buffer.prepare(kReadSize),
+      [self = this->shared_from_this()](const boost::system::error_code& error,
+                                        std::size_t size) {
+        if (self->closed) {
+          return;
+        }
+        self->buffer.commit(size);
+        if (error && error != asio::error::eof) {
+          self->Fail(error.message());
+          return;
+        }
+        self->must_close = self->must_close || error;
+        self->Consume(error == asio::error::eof);
+        if (error) {
+          self->Fail("the connection was closed");
+        } else if (!self->closed) {
+          self->Read();
+        }
+      });
+}
+
+void ClientConnection::Consume(bool at_end) {
+  while (this->current && !this->closed) {
+    if (!this->parser) {
+      if (this->buffer.size() == 0) {
+        return;
+      }
+      this->parser.emplace();
+      this->parser->eager(true);
+      this->parser->skip(this->current->is_head);
+      this->parser->body_limit(kMostAnswerBytes);
+    }
+    beast::error_code error;
+    while (this->buffer.size() > 0 && !this->parser->is_done()) {
+      const std::size_t used = this->parser->put(this->buffer.data(), error);
+      this->buffer.consume(used);
+      if (error || used == 0) {
+        break;
+      }
+    }
+    if (error == beast::http::error::need_more) {
+      error = {};
+    }
+    if (!error && at_end && !this->parser->is_done() &&
+        this->parser->is_header_done() && this->parser->need_eof()) {
+      this->parser->put_eof(error);
+    }
+    if (error) {
+      this->Fail("unreadable answer: " + error.message());
+      return;
+    }
+    if (!this->parser->is_done()) {
+      return;
+    }
+    this->CompleteAnswer();
+  }
+}
+
+void ClientConnection::CompleteAnswer() {
+  const bool ends_with_connection = this->parser->need_eof();
+  io::http::Response response = this->parser->release();
+  this->parser.reset();
+  constexpr unsigned kFirstFinalStatus = 200;
+  if (response.result_int() < kFirstFinalStatus) {
+    return;  // an interim answer
+  }
+  if (this->current->is_mine && !this->current->is_mine(response)) {
+    return;  // a late answer to an earlier request
+  }
+  if (!response.keep_alive() || ends_with_connection) {
+    this->must_close = true;
+  }
+  const auto keep_alive = response.find(io::http::Field::keep_alive);
+  if (keep_alive != response.end()) {
+    this->idle_limit = ParseKeepAlive(io::http::View(keep_alive->value()));
+  }
+  this->became_idle_at = std::chrono::steady_clock::now();
+  const auto done = std::move(this->current->done);
+  this->current.reset();
+  if (this->must_close && !this->writing) {
+    this->CloseSocket();
+  }
+  done(std::move(response));
+}
+
+void ClientConnection::Fail(const std::string& detail, bool is_refused) {
+  this->CloseSocket();
+  if (!this->current) {
+    return;
+  }
+  const auto done = std::move(this->current->done);
+  this->current.reset();
+  done(ExchangeProblem{.failure = this->sent_any ? ExchangeFailure::kBroken
+                                                 : ExchangeFailure::kNotSent,
+                       .detail = detail,
+                       .is_refused = is_refused});
+}
+
+void ClientConnection::Abort() {
+  this->current.reset();
+  this->CloseSocket();
+}
+
+void ClientConnection::CloseSocket() {
+  if (this->closed) {
+    return;
+  }
+  this->closed = true;
+  boost::system::error_code ignored;  // closing cannot fail in a useful way
+  this->socket.close(ignored);
+}
+
+}  // namespace lycheewell::sidecar::http
--- /dev/null
+++ b/packages/sidecar/src/http/server.cpp
@@ -0,0 +1,340 @@
+#include "lycheewell/sidecar/http/server.h"
+
+#include <array>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <optional>
+
+#include "lycheewell/sidecar/http/socket_options.h"
+
+namespace lycheewell::sidecar::http {
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t kReadSize = 8 * 1024;
+
+// Pipelined bytes kept while a request is served.
+constexpr std::size_t kMostPipelinedBytes = 64 * 1024;
+
+// Connections that the kernel holds before they are accepted.
+constexpr int kBacklog = 1024;
+
+// Pause after a failed accept, for example without free descriptors.
+constexpr auto kAcceptPause = std::chrono::milliseconds(20);
+
+// Idle connections live this much longer than promised, since a client's
+// request may be on its way when the promise ends.
+constexpr auto kIdleMargin = std::chrono::seconds(1);
+
+// A client that does not take its answer for this long is cut off.
+constexpr auto kWriteTimeout = std::chrono::seconds(10);
+
+// A body may arrive slowly, but not without end.
+constexpr auto kBodyTimeout = std::chrono::seconds(30);
+
+std::string StatusLine(unsigned status) {
+  const auto reason = beast::http::obsolete_reason(
+      beast::http::int_to_status(status));
+  return "HTTP/1.1 " + std::to_string(status) + " " +
+         std::string(reason.data(), reason.size()) + "\r\n";
+}
+
+}  // namespace
+
+// Reads all the time, so that a client's leaving is noticed at once.
+class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
+ public:
+  ServerConnection(Server& new_server, tcp::socket new_socket)
+      : server(new_server), socket(std::move(new_socket)) {
+    SetSocketOptions(this->socket);
+    boost::system::error_code error;
+    const auto remote = this->socket.remote_endpoint(error);
+    const auto local = this->socket.local_endpoint(error);
+    this->own_vm = !error && (remote.address() == local.address() ||
+                              remote.address().is_loopback());
+  }
+
+  void Start() {
+    this->Await(this->Limits().idle_timeout + kIdleMargin);
+    this->Read();
+  }
+
+  bool is_idle() const {
+    return !this->exchange && !this->parser && !this->writing;
+  }
+
+  void Close() {
+    if (this->closed) {
+      return;
+    }
+    this->closed = true;
+    this->server.timers.Cancel(this->timer);
+    boost::system::error_code ignored;
+    this->socket.shutdown(tcp::socket::shutdown_both, ignored);
+    this->socket.close(ignored);
+    if (this->exchange) {
+      const auto gone = std::move(this->exchange->gone);
+      this->exchange->answered = true;
+      this->exchange.reset();
+      if (gone) {
+        gone();
+      }
+    }
+    this->server.connections.erase(this->shared_from_this());
+  }
+
+  void Send(const Answer& answer) {
+    constexpr unsigned kNoContent = 204;
+    constexpr unsigned kNotModified = 304;
+    const bool is_head = this->exchange &&
+                         this->exchange->message.method() == io::http::Verb::head;
+    this->closes_after = this->closes_after || answer.closes ||
+                         this->server.draining;
+    this->exchange.reset();
+    auto message = std::make_shared<std::string>(StatusLine(answer.status));
+    *message += answer.header_lines;
+    if (answer.status != kNoContent && answer.status != kNotModified) {
+      *message += "Content-Length: " + std::to_string(answer.body.size()) + "\r\n";
+    }
+    *message += this->closes_after ? "Connection: close\r\n\r\n" : "\r\n";
+    if (!is_head) {
+      *message += answer.body;
+    }
+    this->writing = true;
+    this->Await(kWriteTimeout);
+    asio::async_write(
+        this->socket, asio::buffer(*message),
+        [self = this->shared_from_this(), message](
+            const boost::system::error_code& error, std::size_t) {
+          self->AfterWrite(error);
+        });
+  }
+
+ private:
+  using Parser =
+      beast::http::request_parser<beast::http::string_body>;
+
+  ServerLimits Limits() const { return this->server.options.limits(); }
+
+  void Await(core::Duration limit) {
+    this->server.timers.Cancel(this->timer);
+    this->timer = this->server.timers.After(
+        limit, [self = this->shared_from_this()] { self->OnTimeout(); });
+  }
+
+  void OnTimeout() {
+    this->timer = 0;
+    if (this->parser && !this->exchange && !this->rejected) {
+      this->Reject(408, "the request took too long to arrive");
+      return;
+    }
+    this->Close();
+  }
+
+  void AfterWrite(const boost::system::error_code& error) {
+    this->writing = false;
+    if (this->closed) {
+      return;
+    }
+    if (error) {
+      this->Close();
+      return;
+    }
+    if (this->closes_after) {
+      this->Linger();
+      return;
+    }
+    this->Await(this->Limits().idle_timeout + kIdleMargin);
+    this->Consume();
+    if (!this->reading && !this->closed) {
+      this->Read();
+    }
+  }
+
+  // Lets the client read the answer: closing with unread input would reset
+  // the connection.
+  void Linger() {
+    constexpr auto kLingerTime = std::chrono::milliseconds(500);
+    boost::system::error_code ignored;
+    this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+    this->lingering = true;
+    this->Await(kLingerTime);
+    if (!this->reading) {
+      this->Read();
+    }
+  }
+
+  void Read() {
+    this->reading = true;
+    this->socket.async_read_some(
+        this->buffer.prepare(kReadSize),
+        [self = this->shared_from_this()](
+            const boost::system::error_code& error, std::size_t size) {
+          self->reading = false;
+          if (self->closed) {
+            return;
+          }
+          if (error) {
+            self->Close();
+            return;
+          }
+          self->buffer.commit(size);
+          if (self->lingering) {
+            self->buffer.consume(self->buffer.size());
+          } else {
+            self->Consume();
+          }
+          if (!self->closed && !self->reading &&
+              self->buffer.size() < kMostPipelinedBytes) {
+            self->Read();
+          }
+        });
+  }
+
+  void Consume() {
+    if (this->exchange || this->writing || this->closed || this->rejected ||
+        this->closes_after || this->buffer.size() == 0) {
+      return;
+    }
+    if (!this->parser) {
+      const ServerLimits limits = this->Limits();
+      this->parser.emplace();
+      this->parser->eager(true);
+      this->parser->header_limit(limits.header_bytes);
+      this->parser->body_limit(limits.body_bytes);
+      this->Await(limits.header_timeout);
+    }
+    beast::error_code error;
+    const bool had_header = this->parser->is_header_done();
+    while (this->buffer.size() > 0 && !this->parser->is_done()) {
+      const std::size_t used = this->parser->put(this->buffer.data(), error);
+      this->buffer.consume(used);
+      if (error || used == 0) {
+        break;
+      }
+    }
+    if (error && error != beast::http::error::need_more) {
+      this->RejectUnreadable(error);
+      return;
+    }
+    if (!had_header && this->parser->is_header_done() &&
+        !this->parser->is_done()) {
+      this->Await(kBodyTimeout);
+      if (beast::iequals(this->parser->get()[io::http::Field::expect],
+                         "100-continue")) {
+        auto interim =
+            std::make_shared<std::string>("HTTP/1.1 100 Continue\r\n\r\n");
+        asio::async_write(
+            this->socket, asio::buffer(*interim),
+            [self = this->shared_from_this(), interim](
+                const boost::system::error_code&, std::size_t) {});
+      }
+    }
+    if (!this->parser->is_done()) {
+      return;
+    }
+    this->server.timers.Cancel(this->timer);
+    this->closes_after = !this->parser->keep_alive();
+    this->exchange = std::make_shared<ServerExchange>(
+        this->weak_from_this(), this->parser->release(), this->own_vm);
+    this->parser.reset();
+    this->server.options.handler(this->exchange);
+  }
+
+  void RejectUnreadable(const beast::error_code& error) {
+    if (error == beast::http::error::body_limit) {
+      this->Reject(413, error.message());
+    } else if (error == beast::http::error::header_limit) {
+      this->Reject(431, error.message());
+    } else {
+      this->Reject(400, error.message());
+    }
+  }
+
+  void Reject(unsigned status, std::string_view reason) {
+    this->rejected = true;
+    this->server.options.on_bad_request(status, reason);
+    this->Send({.status = status, .closes = true});
+  }
+
+  Server& server;
+  tcp::socket socket;
+  beast::flat_buffer buffer;
+  std::optional<Parser> parser;
+  ExchangePointer exchange;
+  TimerQueue::Id timer = 0;
+  bool own_vm = false;
+  bool reading = false;
+  bool writing = false;
+  bool closes_after = false;
+  bool rejected = false;
+  bool lingering = false;
+  bool closed = false;
+};
+
+ServerExchange::ServerExchange(std::weak_ptr<ServerConnection> new_connection,
+                               io::http::Request request, bool is_from_own_vm)
+    : connection(std::move(new_connection)),
+      message(std::move(request)),
+      own_vm(is_from_own_vm) {}
+
+void ServerExchange::Send(const Answer& answer) {
+  if (this->answered) {
+    return;
+  }
+  this->answered = true;
+  this->gone = nullptr;
+  if (const auto open = this->connection.lock()) {
+    open->Send(answer);
+  }
+}
+
+Server::Server(asio::io_context& new_context, TimerQueue& new_timers,
+               ServerOptions new_options)
+    : context(new_context),
+      timers(new_timers),
+      options(std::move(new_options)),
+      acceptor(new_context) {
+  this->acceptor.open(this->options.endpoint.protocol());
+  this->acceptor.set_option(asio::socket_base::reuse_address(true));
+  this->acceptor.bind(this->options.endpoint);
+  this->acceptor.listen(kBacklog);
+}
+
+void Server::Start() { this->Accept(); }
+
+void Server::Accept() {
+  this->acceptor.async_accept([this](const boost::system::error_code& error,
+                                     tcp::socket socket) {
+    if (error == asio::error::operation_aborted ||
+        error == asio::error::bad_descriptor) {
+      return;
+    }
+    if (error) {
+      this->timers.After(kAcceptPause, [this] { this->Accept(); });
+      return;
+    }
+    const auto connection =
+        std::make_shared<ServerConnection>(*this, std::move(socket));
+    this->connections.insert(connection);
+    connection->Start();
+    this->Accept();
+  });
+}
+
+void Server::Close() {
+  boost::system::error_code ignored;
+  this->acceptor.close(ignored);
+  const auto open = this->connections;
+  for (const auto& connection : open) {
+    if (connection->is_idle()) {
+      connection->Close();
+    }
+  }
+}
+
+}  // namespace lycheewell::sidecar::http
--- /dev/null
+++ b/packages/sidecar/src/requests/front.cpp
@@ -0,0 +1,519 @@
+#include "lycheewell/sidecar/requests/front.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace lycheewell::sidecar::requests {
+using core::manifest::Route;
+using core::routing::Distance;
+using daemon::events::Event;
+
+namespace {
+
+// A request without a stated limit gets this long.
+constexpr core::Duration kUsualTimeLimit = std::chrono::seconds(30);
+
+// Retry-After where the daemon itself is not ready for the request: discovery
+// and the first manifest take a few hundred milliseconds.
+constexpr core::Duration kNotReadyRetryAfter = std::chrono::milliseconds(300);
+
+// Bounds of the Retry-After of requests refused for lack of room.
+constexpr core::Duration kLeastRetryAfter = std::chrono::milliseconds(100);
+constexpr core::Duration kMostRetryAfter = std::chrono::seconds(2);
+
+// Other targets asked after refusals that came before the request was sent to
+// a target. Each costs a round trip.
+constexpr int kMostRefusals = 3;
+
+// Part of the fleet's budget of repeats that is used: daemons see different
+// parts of the traffic, and calls made by repeats count too.
+constexpr double kRepeatShare = 0.5;
+
+// The proof of the manifest may be this much younger than the bound: what a
+// clock's drift and the way from the client take.
+constexpr core::Duration kProofMargin = std::chrono::milliseconds(300);
+
+// A later answer than this before the limit cannot reach the client in time.
+constexpr core::Duration kLeastTimeLeft = std::chrono::milliseconds(2);
+
+std::string_view PathOf(std::string_view path_and_query) {
+  return path_and_query.substr(0, path_and_query.find('?'));
+}
+
+std::uint32_t MillisecondsLeft(core::Instant end, core::Instant now) {
+  const auto left =
+      std::chrono::duration_cast<std::chrono::milliseconds>(end - now).count();
+  return static_cast<std::uint32_t>(std::max<std::int64_t>(0, left));
+}
+
+std::string Text(core::Duration duration) {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+std::string RetryAfterLine(core::Duration wait) {
+  const auto milliseconds =
+      std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
+  std::string digits = std::to_string(milliseconds % 1000);
+  digits.insert(0, 3 - digits.size(), '0');
+  return "Retry-After: " + std::to_string(milliseconds / 1000) + "." + digits +
+         "\r\n";
+}
+
+}  // namespace
+
+// One request from its arrival to its answer.
+struct Front::Pending {
+  http::ExchangePointer exchange;
+  ClientRequest request;
+  std::shared_ptr<const core::routing::RouteTable> table;
+  const Route* route = nullptr;
+  const core::manifest::Account* account = nullptr;
+  std::string service;
+  core::Instant arrived_at;
+  core::Instant deadline;
+  core::Instant wanted_by;
+  int rank = 0;
+  int sends = 0;     // to targets, as far as known
+  int refusals = 0;  // by daemons, before a target got the request
+  std::set<std::string> excluded;
+  TimerQueue::Id timer = 0;
+  // The send under way.
+  std::string member;
+  std::string instance;
+  Gate::Ticket ticket = 0;
+  std::uint64_t call_id = 0;
+  bool is_closed = false;
+};
+
+Front::Front(TimerQueue& new_timers, DecisionLog& new_log, Options new_options)
+    : timers(new_timers),
+      log(new_log),
+      options(std::move(new_options)),
+      generator(std::random_device{}()),
+      random([this] { return this->generator(); }) {}
+
+core::retry::WindowBudget& Front::BudgetOf(const std::string& service) {
+  const BoundSettings& bounds = this->options.settings.bounds;
+  return this->budgets
+      .try_emplace(service, core::retry::WindowBudget({
+                                .ratio = bounds.repeat_ratio * kRepeatShare,
+                                .base = bounds.repeat_base * kRepeatShare,
+                                .window = bounds.repeat_window,
+                            }))
+      .first->second;
+}
+
+void Front::Serve(http::ExchangePointer exchange) {
+  const auto pending = std::make_shared<Pending>();
+  pending->exchange = std::move(exchange);
+  pending->arrived_at = std::chrono::steady_clock::now();
+  pending->table = this->options.manifest.table();
+  ++this->open;
+  auto decoded =
+      this->options.dialect.decode_request(pending->exchange->request());
+  if (const auto* problem = std::get_if<Unusable>(&decoded)) {
+    this->Refuse(pending, 400, problem->reason, {});
+    return;
+  }
+  pending->request = std::get<ClientRequest>(std::move(decoded));
+  if (!pending->table) {
+    this->Refuse(pending, 503, "no manifest yet", kNotReadyRetryAfter);
+    return;
+  }
+  pending->route = pending->table->FindRoute(
+      pending->request.host, PathOf(pending->request.path_and_query));
+  if (pending->route == nullptr) {
+    this->Refuse(pending, 404, "no route", {});
+    return;
+  }
+  const Route& route = *pending->route;
+  core::Duration limit = pending->request.time_limit.value_or(kUsualTimeLimit);
+  if (route.timeout > core::Duration::zero()) {
+    limit = std::min(limit, route.timeout);
+  }
+  pending->deadline = pending->arrived_at + limit;
+  pending->wanted_by =
+      route.latency_target > core::Duration::zero()
+          ? std::min(pending->deadline, pending->arrived_at + route.latency_target)
+          : pending->deadline;
+  this->Admit(pending);
+}
+
+void Front::Admit(const PendingPointer& pending) {
+  const Route& route = *pending->route;
+  // The account's priority goes before the route's; a call of a running
+  // request goes before new requests of the same importance.
+  constexpr int kAccountStep = 64;
+  constexpr int kRouteStep = 2;
+  int rank = route.priority * kRouteStep +
+             (pending->exchange->is_from_own_vm() ? 0 : 1);
+  if (!route.is_open && pending->table->has_accounts()) {
+    if (pending->request.key) {
+      pending->account =
+          pending->table->FindAccountByKey(*pending->request.key);
+    }
+    if (pending->account == nullptr) {
+      this->Refuse(pending, 401,
+                   pending->request.key ? "unknown key" : "no key", {});
+      return;
+    }
+    const auto age = this->options.manifest.proof_age();
+    if (!age || *age > this->options.settings.bounds.key_withdrawal -
+                           kProofMargin) {
+      this->log.Write(Event::kProofExpired,
+                      {{"request", pending->request.id},
+                       {"age_ms", age ? Text(*age) : "never"}});
+      this->Refuse(pending, 503, "manifest not proven newest",
+                   kNotReadyRetryAfter);
+      return;
+    }
+    rank += pending->account->priority.value_or(route.priority) * kAccountStep;
+  } else {
+    rank += route.priority * kAccountStep;
+  }
+  pending->rank = rank;
+  pending->exchange->OnGone([this, pending] {
+    this->log.Write(Event::kCallAbandoned,
+                    {{"request", pending->request.id},
+                     {"service", pending->service},
+                     {"after_ms", Text(std::chrono::steady_clock::now() -
+                                       pending->arrived_at)}});
+    this->options.counters.Count("requests", "client left");
+    this->Withdraw(pending);
+    this->Close(pending);
+  });
+  pending->timer = this->timers.At(
+      pending->deadline, [this, pending] { this->OnTimeout(pending); });
+  if (pending->account == nullptr) {
+    this->Dispatch(pending);
+    return;
+  }
+  this->options.accounts.Acquire(
+      *pending->account,
+      [this, pending](bool allowed, core::Duration retry_after) {
+        if (pending->is_closed) {
+          return;
+        }
+        if (!allowed) {
+          this->Refuse(pending, 429, "account rate", retry_after);
+          return;
+        }
+        this->Dispatch(pending);
+      });
+}
+
+void Front::Dispatch(const PendingPointer& pending) {
+  const core::Instant now = std::chrono::steady_clock::now();
+  if (pending->service.empty()) {
+    const Route& route = *pending->route;
+    if (route.destinations.empty()) {
+      this->Refuse(pending, 503, "route without a service",
+                   kNotReadyRetryAfter);
+      return;
+    }
+    const std::size_t index =
+        this->turns[route.name].Next(route.destinations, this->random);
+    pending->service = route.destinations[index].service;
+    this->BudgetOf(pending->service).RecordRequest(now);
+  }
+  if (pending->deadline - now < kLeastTimeLeft) {
+    this->OnTimeout(pending);
+    return;
+  }
+  const auto choice = this->targets.Choose(pending->service, pending->excluded,
+                                           now, this->random);
+  if (!choice) {
+    this->Refuse(pending, 503, "no target", kNotReadyRetryAfter);
+    return;
+  }
+  if (now + choice->expected_wait > pending->wanted_by) {
+    this->Refuse(pending, 503, "no slot expected in time",
+                 choice->expected_wait);
+    return;
+  }
+  this->SendTo(pending, *choice);
+}
+
+void Front::SendTo(const PendingPointer& pending,
+                   const core::routing::Choice& choice) {
+  const core::Instant now = std::chrono::steady_clock::now();
+  const io::http::Request& message = pending->exchange->request();
+  pending->member = choice.member;
+  pending->instance = choice.instance;
+  this->targets.RecordSent(choice.member);
+  std::string lines =
+      pending->request.header_lines +
+      this->options.dialect.encode_origin(
+          pending->account == nullptr ? "" : pending->account->name,
+          this->options.settings.target_service);
+  if (choice.member == this->options.mesh.self_name()) {
+    pending->ticket = 0;
+    const std::uint64_t send = ++this->last_call;
+    pending->call_id = send;
+    const Gate::Ticket ticket = this->options.gate.Submit(
+        {.instance = choice.instance,
+         .request_id = pending->request.id,
+         .method = pending->request.method,
+         .path_and_query = pending->request.path_and_query,
+         .header_lines = std::move(lines),
+         .body = message.body(),
+         .deadline = pending->deadline,
+         .wanted_by = pending->wanted_by,
+         .rank = pending->rank,
+         .is_idempotent = pending->route->is_idempotent},
+        [this, pending, send](GateReply reply) {
+          if (!pending->is_closed && pending->call_id == send) {
+            pending->ticket = 0;
+            this->OnOutcome(pending, std::move(reply));
+          }
+        });
+    if (pending->call_id == send && !pending->is_closed) {
+      pending->ticket = ticket;
+    }
+    return;
+  }
+  mesh::Frame frame;
+  mesh::Call& call = *frame.mutable_call();
+  pending->call_id = ++this->last_call;
+  call.set_call_id(pending->call_id);
+  call.set_instance(choice.instance);
+  call.set_request_id(pending->request.id);
+  call.set_method(pending->request.method);
+  call.set_path_and_query(pending->request.path_and_query);
+  call.set_header_lines(std::move(lines));
+  call.set_body(message.body());
+  call.set_time_left_ms(MillisecondsLeft(pending->deadline, now));
+  call.set_queue_limit_ms(MillisecondsLeft(pending->wanted_by, now));
+  call.set_rank(static_cast<std::uint32_t>(std::max(0, pending->rank)));
+  call.set_is_idempotent(pending->route->is_idempotent);
+  this->remote.emplace(pending->call_id, pending);
+  if (!this->options.mesh.Send(choice.member, frame)) {
+    this->remote.erase(pending->call_id);
+    this->OnOutcome(pending, {.outcome = Outcome::kNotRun,
+                              .reason = "no link to the target's daemon"});
+  }
+}
+
+void Front::OnReply(const std::string& member, mesh::Reply& reply) {
+  const core::Instant now = std::chrono::steady_clock::now();
+  this->targets.Report(
+      member,
+      {.running = static_cast<int>(reply.load().running()),
+       .waiting = static_cast<int>(reply.load().waiting()),
+       .mean_work = std::chrono::microseconds(reply.load().mean_work_us())},
+      now);
+  const auto found = this->remote.find(reply.call_id());
+  if (found == this->remote.end()) {
+    return;  // given up meanwhile
+  }
+  const PendingPointer pending = found->second;
+  this->remote.erase(found);
+  Outcome outcome = Outcome::kMayHaveRun;
+  if (reply.outcome() == mesh::ANSWERED) {
+    outcome = Outcome::kAnswered;
+  } else if (reply.outcome() == mesh::NOT_RUN) {
+    outcome = Outcome::kNotRun;
+  }
+  this->OnOutcome(pending,
+                  {.outcome = outcome,
+                   .status = reply.status(),
+                   .header_lines = std::move(*reply.mutable_header_lines()),
+                   .body = std::move(*reply.mutable_body()),
+                   .reason = reply.reason(),
+                   .retry_after =
+                       std::chrono::milliseconds(reply.retry_after_ms())});
+}
+
+void Front::OnLost(const std::string& member) {
+  std::vector<PendingPointer> lost;
+  for (const auto& [id, pending] : this->remote) {
+    if (pending->member == member) {
+      lost.push_back(pending);
+    }
+  }
+  for (const PendingPointer& pending : lost) {
+    this->remote.erase(pending->call_id);
+    this->OnOutcome(pending, {.outcome = Outcome::kMayHaveRun,
+                              .reason = "link to the target's daemon lost"});
+  }
+}
+
+void Front::OnOutcome(const PendingPointer& pending, GateReply reply) {
+  const core::Instant now = std::chrono::steady_clock::now();
+  this->targets.RecordDone(pending->member);
+  pending->call_id = 0;
+  if (reply.outcome == Outcome::kAnswered) {
+    if (this->log.WouldWrite(Event::kCallAnswered)) {
+      this->log.Write(Event::kCallAnswered,
+                      {{"request", pending->request.id},
+                       {"route", pending->route->name},
+                       {"member", pending->member},
+                       {"instance", pending->instance},
+                       {"status", std::to_string(reply.status)},
+                       {"manifest", std::to_string(pending->table->version())},
+                       {"after_ms", Text(now - pending->arrived_at)}});
+    }
+    this->options.counters.Count("requests", "answered");
+    this->options.counters.Observe("request", now - pending->arrived_at);
+    const auto exchange = pending->exchange;
+    this->Close(pending);
+    exchange->Send({.status = reply.status,
+                    .header_lines = std::move(reply.header_lines),
+                    .body = std::move(reply.body)});
+    return;
+  }
+  if (reply.outcome == Outcome::kNotRun) {
+    this->OnNotRun(pending, reply);
+    return;
+  }
+  ++pending->sends;
+  pending->excluded.insert(pending->member);
+  const bool may_repeat = pending->route->is_idempotent &&
+                          pending->sends < pending->route->most_attempts &&
+                          pending->deadline - now > kLeastTimeLeft;
+  if (!may_repeat || !this->BudgetOf(pending->service)
+                          .Spend(this->options.mesh.daemon_count(), now)) {
+    this->Fail(pending, now >= pending->deadline ? 504 : 502, reply.reason);
+    return;
+  }
+  this->log.Write(Event::kCallRepeated, {{"request", pending->request.id},
+                                         {"after", pending->member},
+                                         {"reason", reply.reason}});
+  this->options.counters.Count("repeats", "may have run");
+  this->Dispatch(pending);
+}
+
+void Front::OnNotRun(const PendingPointer& pending, const GateReply& reply) {
+  const core::Instant now = std::chrono::steady_clock::now();
+  ++pending->refusals;
+  pending->excluded.insert(pending->member);
+  this->targets.RecordRefusal(pending->member, reply.retry_after, now);
+  // A refusal by the target itself counts as an arrival there.
+  const bool reached_target = reply.reason == "target refused";
+  if (reached_target) {
+    ++pending->sends;
+  }
+  const bool may_go_elsewhere =
+      pending->refusals < kMostRefusals &&
+      pending->deadline - now > kLeastTimeLeft &&
+      (!reached_target ||
+       (pending->sends < pending->route->most_attempts &&
+        this->BudgetOf(pending->service)
+            .Spend(this->options.mesh.daemon_count(), now)));
+  const auto choice =
+      may_go_elsewhere
+          ? this->targets.Choose(pending->service, pending->excluded, now,
+                                 this->random)
+          : std::nullopt;
+  if (!choice || now + choice->expected_wait > pending->wanted_by) {
+    this->Refuse(pending, 503, reply.reason, reply.retry_after);
+    return;
+  }
+  this->log.Write(Event::kCallRepeated, {{"request", pending->request.id},
+                                         {"after", pending->member},
+                                         {"reason", reply.reason}});
+  this->options.counters.Count("repeats", "not run");
+  this->SendTo(pending, *choice);
+}
+
+void Front::OnTimeout(const PendingPointer& pending) {
+  if (pending->is_closed) {
+    return;
+  }
+  this->timers.Cancel(pending->timer);
+  const bool was_sent = pending->call_id != 0 || pending->sends > 0;
+  this->Withdraw(pending);
+  if (was_sent) {
+    this->Fail(pending, 504, "time limit passed");
+  } else {
+    this->Refuse(pending, 503, "time limit passed", kLeastRetryAfter);
+  }
+}
+
+void Front::Withdraw(const PendingPointer& pending) {
+  if (pending->call_id == 0) {
+    return;
+  }
+  this->targets.RecordDone(pending->member);
+  if (pending->member == this->options.mesh.self_name()) {
+    if (pending->ticket != 0) {
+      this->options.gate.Cancel(pending->ticket);
+    }
+  } else {
+    this->remote.erase(pending->call_id);
+    mesh::Frame frame;
+    frame.mutable_cancel()->set_call_id(pending->call_id);
+    this->options.mesh.Send(pending->member, frame);
+  }
+  pending->call_id = 0;
+  pending->ticket = 0;
+}
+
+void Front::Refuse(const PendingPointer& pending, unsigned status,
+                   std::string_view reason, core::Duration retry_after) {
+  const core::Instant now = std::chrono::steady_clock::now();
+  constexpr unsigned kTooMany = 429;
+  constexpr unsigned kUnavailable = 503;
+  if (this->log.WouldWrite(Event::kCallRefused)) {
+    const auto age = this->options.manifest.proof_age();
+    this->log.Write(
+        Event::kCallRefused,
+        {{"request", pending->request.id},
+         {"status", std::to_string(status)},
+         {"reason", reason},
+         {"route", pending->route == nullptr ? "" : pending->route->name},
+         {"account", pending->account == nullptr ? "" : pending->account->name},
+         {"service", pending->service},
+         {"rank", std::to_string(pending->rank)},
+         {"targets", std::to_string(this->targets.CountOf(pending->service))},
+         {"refusals", std::to_string(pending->refusals)},
+         {"manifest", std::to_string(this->options.manifest.version())},
+         {"proof_age_ms", age ? Text(*age) : "never"},
+         {"retry_after_ms", Text(retry_after)},
+         {"after_ms", Text(now - pending->arrived_at)}});
+  }
+  this->options.counters.Count("requests_refused", reason);
+  std::string lines;
+  if (status == kTooMany || status == kUnavailable) {
+    lines = RetryAfterLine(
+        std::clamp(retry_after, kLeastRetryAfter, kMostRetryAfter));
+  }
+  const auto exchange = pending->exchange;
+  this->Close(pending);
+  exchange->Send({.status = status, .header_lines = std::move(lines)});
+}
+
+void Front::Fail(const PendingPointer& pending, unsigned status,
+                 std::string_view reason) {
+  const core::Instant now = std::chrono::steady_clock::now();
+  this->log.Write(Event::kCallFailed,
+                  {{"request", pending->request.id},
+                   {"status", std::to_string(status)},
+                   {"reason", reason},
+                   {"route", pending->route->name},
+                   {"service", pending->service},
+                   {"member", pending->member},
+                   {"instance", pending->instance},
+                   {"sends", std::to_string(pending->sends)},
+                   {"idempotent", pending->route->is_idempotent ? "yes" : "no"},
+                   {"after_ms", Text(now - pending->arrived_at)}});
+  this->options.counters.Count("requests_failed",
+                               status == 504 ? "time limit" : "may have run");
+  const auto exchange = pending->exchange;
+  this->Close(pending);
+  exchange->Send({.status = status});
+}
+
+void Front::Close(const PendingPointer& pending) {
+  if (pending->is_closed) {
+    return;
+  }
+  pending->is_closed = true;
+  --this->open;
+  this->timers.Cancel(pending->timer);
+  // Breaks the cycle between the exchange and its handler.
+  pending->exchange->OnGone(nullptr);
+}
+
+}  // namespace lycheewell::sidecar::requests
--- /dev/null
+++ b/packages/sidecar/src/requests/gate.cpp
@@ -0,0 +1,509 @@
+#include "lycheewell/sidecar/requests/gate.h"
+
+#include <algorithm>
+
+#include "lycheewell/io/http/address.h"
+
+namespace lycheewell::sidecar::requests {
+using daemon::events::Event;
+
+namespace {
+
+// A target answers at its time limit by itself; the connection is cut when it
+// has not done so this much later.
+constexpr core::Duration kAnswerMargin = std::chrono::milliseconds(200);
+
+// Idle connections are used again within these times, unless the target states
+// a shorter one. For a request that cannot be repeated a connection that the
+// target may be about to close is worth less than a new one.
+constexpr core::Duration kReuseWithin = std::chrono::seconds(4);
+constexpr core::Duration kReuseWithinForUnsafe = std::chrono::seconds(1);
+constexpr core::Duration kStatedLimitMargin = std::chrono::seconds(1);
+
+// A request is refused when its expected start leaves less than this part of
+// the mean work until its answer is wanted.
+constexpr double kWorkMargin = 1.2;
+
+// A target that misses this many announcements and a second is gone.
+constexpr int kMissedAnnouncements = 3;
+constexpr core::Duration kAnnouncementMargin = std::chrono::seconds(1);
+
+// Least Retry-After of a refusal: a full target frees slots within this time.
+constexpr core::Duration kLeastRetryAfter = std::chrono::milliseconds(50);
+
+// Other daemons' targets can take the request at once.
+constexpr core::Duration kElsewhere = std::chrono::milliseconds(0);
+
+// Instances remembered as retired.
+constexpr std::size_t kMostRetired = 64;
+
+
+std::string_view StateName(TargetState state) {
+  switch (state) {
+    case TargetState::kTakesWork:
+      return "takes-work";
+    case TargetState::kLeaving:
+      return "leaving";
+    case TargetState::kGone:
+      return "gone";
+  }
+  return "gone";
+}
+
+std::uint64_t Microseconds(core::Duration duration) {
+  return static_cast<std::uint64_t>(std::max<std::int64_t>(
+      0,
+      std::chrono::duration_cast<std::chrono::microseconds>(duration).count()));
+}
+
+std::string MillisecondText(core::Duration duration) {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+// Names one start of a target: an instance name may be used again.
+std::string StartName(const Announcement& target) {
+  return target.instance + "@" + std::to_string(target.born_ms);
+}
+
+bool SendsLength(const GateCall& call) {
+  return !call.body.empty() || call.method == "POST" || call.method == "PUT" ||
+         call.method == "PATCH";
+}
+
+}  // namespace
+
+Gate::Gate(boost::asio::io_context& new_context, TimerQueue& new_timers,
+           DecisionLog& new_log, Options new_options)
+    : context(new_context),
+      timers(new_timers),
+      log(new_log),
+      options(std::move(new_options)),
+      target_endpoint(
+          io::http::ParseEndpoint(this->options.settings.target_address)) {
+  this->WatchSilence();
+}
+
+bool Gate::accepts_work() const {
+  return this->state == TargetState::kTakesWork && !this->draining;
+}
+
+Gate::Ticket Gate::Submit(GateCall call, Callback done) {
+  const Ticket ticket = ++this->last_ticket;
+  const core::Instant now = std::chrono::steady_clock::now();
+  Call& entry = this->calls[ticket];
+  entry.request = std::move(call);
+  entry.done = std::move(done);
+  if (!this->accepts_work()) {
+    this->Refuse(ticket, "target does not take work", kElsewhere);
+    return ticket;
+  }
+  if (entry.request.instance != this->target.instance) {
+    this->Refuse(ticket, "target was replaced", kElsewhere);
+    return ticket;
+  }
+  if (entry.request.deadline <= now) {
+    this->Refuse(ticket, "time limit passed", kElsewhere);
+    return ticket;
+  }
+  const auto work = core::Duration(static_cast<core::Duration::rep>(
+      kWorkMargin * static_cast<double>(this->slots.mean_work().count())));
+  const core::Instant latest_start = std::min(
+      entry.request.wanted_by - work, entry.request.deadline - work / 2);
+  const auto verdict = this->slots.Offer({.ticket = ticket,
+                                          .rank = entry.request.rank,
+                                          .arrived_at = now,
+                                          .latest_start = latest_start},
+                                         now);
+  switch (verdict) {
+    case core::overload::SlotVerdict::kRun:
+      this->Run(ticket);
+      break;
+    case core::overload::SlotVerdict::kWait:
+      this->ScheduleExpiry();
+      break;
+    case core::overload::SlotVerdict::kRefuse:
+      this->Refuse(ticket, "no slot in time",
+                   this->slots.ExpectedWait(entry.request.rank));
+      break;
+  }
+  return ticket;
+}
+
+std::shared_ptr<http::ClientConnection> Gate::TakeConnection(
+    bool is_idempotent) {
+  const core::Instant now = std::chrono::steady_clock::now();
+  while (!this->idle.empty()) {
+    auto connection = std::move(this->idle.back());
+    this->idle.pop_back();
+    core::Duration limit = is_idempotent ? kReuseWithin : kReuseWithinForUnsafe;
+    if (const auto stated = connection->stated_idle_limit()) {
+      limit = std::min<core::Duration>(
+          limit, std::max<core::Duration>(core::Duration::zero(),
+                                          *stated - kStatedLimitMargin));
+    }
+    if (connection->is_usable() && now - connection->idle_since() < limit) {
+      return connection;
+    }
+    if (!connection->is_usable() ||
+        now - connection->idle_since() >= kReuseWithin) {
+      connection->Abort();
+      continue;
+    }
+    // Only too old for this request. The ones below it are older still.
+    this->idle.push_back(std::move(connection));
+    break;
+  }
+  return std::make_shared<http::ClientConnection>(this->context,
+                                                  this->target_endpoint);
+}
+
+void Gate::Run(Ticket ticket) {
+  Call& call = this->calls.at(ticket);
+  const core::Instant now = std::chrono::steady_clock::now();
+  call.is_running = true;
+  call.started_at = now;
+  ++this->running_calls;
+  call.connection = this->TakeConnection(call.request.is_idempotent);
+  std::string message;
+  message.reserve(call.request.header_lines.size() + call.request.body.size() +
+                  call.request.path_and_query.size() + 192);
+  message += call.request.method;
+  message += ' ';
+  message += call.request.path_and_query;
+  message += " HTTP/1.1\r\n";
+  message += call.request.header_lines;
+  message += this->options.dialect.encode_send(call.request.instance,
+                                               call.request.deadline - now);
+  if (SendsLength(call.request)) {
+    message +=
+        "Content-Length: " + std::to_string(call.request.body.size()) + "\r\n";
+  }
+  message += "\r\n";
+  message += call.request.body;
+  call.request.body.clear();
+  call.request.header_lines.clear();
+  call.timer =
+      this->timers.At(call.request.deadline + kAnswerMargin, [this, ticket] {
+        const auto found = this->calls.find(ticket);
+        if (found == this->calls.end()) {
+          return;
+        }
+        found->second.timer = 0;
+        found->second.connection->Abort();
+        this->Finish(ticket, http::ExchangeProblem{
+                                 .failure = http::ExchangeFailure::kBroken,
+                                 .detail = "no answer at the time limit"});
+      });
+  call.connection->Start(
+      {.message = std::move(message),
+       .is_head = call.request.method == "HEAD",
+       .is_mine =
+           [&dialect = this->options.dialect,
+            id = call.request.request_id](const io::http::Response& response) {
+             return dialect.is_answer_to(response, id);
+           },
+       .done = [this, ticket](http::ExchangeOutcome outcome) {
+         this->Finish(ticket, std::move(outcome));
+       }});
+}
+
+void Gate::Finish(Ticket ticket, http::ExchangeOutcome outcome) {
+  const auto found = this->calls.find(ticket);
+  if (found == this->calls.end()) {
+    return;
+  }
+  Call& call = found->second;
+  const core::Instant now = std::chrono::steady_clock::now();
+  this->timers.Cancel(call.timer);
+  call.is_running = false;
+  --this->running_calls;
+  GateReply reply;
+  bool is_sample = false;
+  if (auto* response = std::get_if<io::http::Response>(&outcome)) {
+    TargetAnswer answer = this->options.dialect.decode_answer(*response);
+    if (answer.has_not_run) {
+      reply.reason = answer.is_wrong_instance ? "target was replaced"
+                                              : "target refused";
+      reply.retry_after = kLeastRetryAfter;
+      if (answer.is_wrong_instance &&
+          call.request.instance == this->target.instance) {
+        this->SetState(TargetState::kGone, "another instance answered");
+      }
+    } else if (answer.is_transformed) {
+      reply.outcome = Outcome::kMayHaveRun;
+      reply.reason = "the answer is not the target's own bytes";
+    } else {
+      reply = GateReply{.outcome = Outcome::kAnswered,
+                        .status = response->result_int(),
+                        .header_lines = std::move(answer.header_lines),
+                        .body = std::move(response->body())};
+      is_sample = true;
+    }
+    if (call.connection->is_usable()) {
+      this->idle.push_back(call.connection);
+    }
+  } else {
+    const auto& problem = std::get<http::ExchangeProblem>(outcome);
+    reply.outcome = problem.failure == http::ExchangeFailure::kNotSent
+                        ? Outcome::kNotRun
+                        : Outcome::kMayHaveRun;
+    reply.reason = problem.detail;
+    reply.retry_after = kLeastRetryAfter;
+    this->log.Write(Event::kTargetBroke,
+                    {{"request", call.request.request_id},
+                     {"instance", call.request.instance},
+                     {"detail", problem.detail},
+                     {"after_ms", MillisecondText(now - call.started_at)}});
+    if (problem.is_refused && this->state == TargetState::kTakesWork) {
+      this->log.Write(Event::kTargetUnreachable,
+                      {{"instance", this->target.instance}});
+      this->SetState(TargetState::kGone, "connection refused");
+    }
+  }
+  this->slots.Finish(now - call.started_at, is_sample);
+  this->Reply(ticket, std::move(reply));
+  this->TakeTurns();
+}
+
+void Gate::Reply(Ticket ticket, GateReply reply) {
+  const auto found = this->calls.find(ticket);
+  const Callback done = std::move(found->second.done);
+  const bool is_abandoned = found->second.is_abandoned;
+  this->calls.erase(found);
+  if (!is_abandoned) {
+    done(std::move(reply));
+  }
+}
+
+void Gate::Refuse(Ticket ticket, std::string_view reason,
+                  core::Duration retry_after) {
+  if (this->log.WouldWrite(Event::kSlotRefused)) {
+    const Call& call = this->calls.at(ticket);
+    this->log.Write(
+        Event::kSlotRefused,
+        {{"request", call.request.request_id},
+         {"reason", reason},
+         {"rank", std::to_string(call.request.rank)},
+         {"running", std::to_string(this->slots.running())},
+         {"waiting", std::to_string(this->slots.waiting())},
+         {"mean_work_ms", MillisecondText(this->slots.mean_work())}});
+  }
+  this->Reply(ticket, {.outcome = Outcome::kNotRun,
+                       .reason = std::string(reason),
+                       .retry_after = std::max(retry_after, kElsewhere)});
+}
+
+void Gate::TakeTurns() {
+  const auto turns = this->slots.TakeTurns(std::chrono::steady_clock::now());
+  for (const Ticket ticket : turns.run) {
+    this->Run(ticket);
+  }
+  for (const Ticket ticket : turns.refuse) {
+    this->Refuse(ticket, "no slot in time", kLeastRetryAfter);
+  }
+}
+
+void Gate::ScheduleExpiry() {
+  const core::Instant next = this->slots.next_expiry();
+  if (next >= this->expiry_at) {
+    return;
+  }
+  this->timers.Cancel(this->expiry);
+  this->expiry_at = next;
+  this->expiry = this->timers.At(next, [this] {
+    this->expiry = 0;
+    this->expiry_at = core::Instant::max();
+    this->TakeTurns();
+    if (this->slots.waiting() > 0) {
+      this->ScheduleExpiry();
+    }
+  });
+}
+
+void Gate::Cancel(Ticket ticket) {
+  const auto found = this->calls.find(ticket);
+  if (found == this->calls.end()) {
+    return;
+  }
+  Call& call = found->second;
+  if (!call.is_running) {
+    this->slots.Remove(ticket);
+    this->calls.erase(found);
+    return;
+  }
+  if (!call.request.is_idempotent) {
+    call.is_abandoned = true;
+    return;
+  }
+  this->timers.Cancel(call.timer);
+  call.connection->Abort();
+  --this->running_calls;
+  constexpr bool kIsSample = false;
+  this->slots.Finish(core::Duration::zero(), kIsSample);
+  this->calls.erase(found);
+  this->TakeTurns();
+}
+
+void Gate::RefuseWaiting(std::string_view reason) {
+  std::vector<Ticket> waiting;
+  for (const auto& [ticket, call] : this->calls) {
+    if (!call.is_running) {
+      waiting.push_back(ticket);
+    }
+  }
+  for (const Ticket ticket : waiting) {
+    if (this->slots.Remove(ticket)) {
+      this->Refuse(ticket, reason, kElsewhere);
+    }
+  }
+}
+
+void Gate::SetState(TargetState new_state, std::string_view reason) {
+  if (this->state != new_state) {
+    this->state = new_state;
+    this->log.Write(Event::kTargetStateChanged,
+                    {{"instance", this->target.instance},
+                     {"state", StateName(new_state)},
+                     {"sequence", std::to_string(this->target.sequence)},
+                     {"born_ms", std::to_string(this->target.born_ms)},
+                     {"reason", reason}});
+  }
+  if (new_state != TargetState::kTakesWork) {
+    for (const auto& connection : this->idle) {
+      connection->Abort();
+    }
+    this->idle.clear();
+  }
+  this->options.on_change();
+  if (new_state != TargetState::kTakesWork) {
+    this->RefuseWaiting("target does not take work");
+  }
+}
+
+void Gate::Retire(const std::string& start) {
+  if (start.empty()) {
+    return;
+  }
+  if (this->retired.size() >= kMostRetired) {
+    this->retired.erase(this->retired.begin());
+  }
+  this->retired.insert(start);
+  if (start == StartName(this->target) &&
+      this->state == TargetState::kTakesWork) {
+    this->SetState(TargetState::kLeaving, "a peer saw it leave");
+  }
+}
+
+void Gate::Announce(const Announcement& announcement) {
+  const bool is_same_start = announcement.instance == this->target.instance &&
+                             (announcement.born_ms == 0 ||
+                              announcement.born_ms == this->target.born_ms);
+  if (announcement.state == TargetState::kGone) {
+    if (announcement.instance == this->target.instance) {
+      this->retired.insert(StartName(this->target));
+      this->SetState(TargetState::kGone, "it said so");
+    }
+    return;
+  }
+  if (announcement.service != this->options.settings.target_service) {
+    this->log.Write(Event::kAnnouncementRejected,
+                    {{"instance", announcement.instance},
+                     {"reason", "another service"}});
+    return;
+  }
+  const std::string start = StartName(announcement);
+  const core::Instant now = std::chrono::steady_clock::now();
+  // The known start has missed an announcement, so that another one may have
+  // taken its place although its clock says that it is older.
+  const bool is_known_silent =
+      now - this->heard_at > this->options.settings.announcement_period * 3 / 2;
+  const bool is_late = is_same_start
+                           ? announcement.sequence <= this->target.sequence &&
+                                 (announcement.born_ms != 0 || !is_known_silent)
+                           : this->earlier_starts.contains(start) ||
+                                 (announcement.born_ms < this->target.born_ms &&
+                                  !is_known_silent);
+  if (is_late) {
+    this->log.Write(Event::kAnnouncementRejected,
+                    {{"instance", announcement.instance},
+                     {"sequence", std::to_string(announcement.sequence)},
+                     {"known", StartName(this->target)},
+                     {"reason", "older than what is known"}});
+    return;
+  }
+  const bool is_new_size = announcement.slots != this->target.slots;
+  const std::uint64_t slots_before = this->target.slots;
+  const std::string start_before = StartName(this->target);
+  this->target = announcement;
+  if (this->target.slots == 0) {
+    this->target.slots = static_cast<std::uint32_t>(slots_before);
+  }
+  if (!is_same_start) {
+    this->slots.Forget();
+    this->earlier_starts.insert(start_before);
+  }
+  this->heard_at = now;
+  this->cold_until = now + announcement.cold_for;
+  if (is_new_size || !is_same_start) {
+    this->slots.Resize({.slots = static_cast<int>(this->target.slots)});
+  }
+  TargetState next = announcement.state;
+  if (next == TargetState::kLeaving) {
+    this->retired.insert(start);
+  } else if (this->retired.contains(start)) {
+    next = TargetState::kLeaving;
+  }
+  if (next != this->state || !is_same_start || is_new_size) {
+    this->SetState(next, "announcement");
+  }
+  this->TakeTurns();
+}
+
+void Gate::WatchSilence() {
+  const core::Duration limit =
+      this->options.settings.announcement_period * kMissedAnnouncements +
+      kAnnouncementMargin;
+  if (this->state == TargetState::kTakesWork &&
+      std::chrono::steady_clock::now() - this->heard_at > limit) {
+    this->SetState(TargetState::kGone, "no announcement");
+  }
+  this->timers.After(this->options.settings.announcement_period,
+                     [this] { this->WatchSilence(); });
+}
+
+void Gate::BeginDrain() {
+  this->draining = true;
+  this->options.on_change();
+  this->RefuseWaiting("the daemon stops");
+}
+
+mesh::Load Gate::DescribeLoad() const {
+  mesh::Load load;
+  load.set_running(static_cast<std::uint32_t>(this->slots.running()));
+  load.set_waiting(static_cast<std::uint32_t>(this->slots.waiting()));
+  load.set_mean_work_us(Microseconds(this->slots.mean_work()));
+  return load;
+}
+
+mesh::Target Gate::DescribeTarget() const {
+  constexpr std::uint32_t kTakesWork = 1;
+  constexpr std::uint32_t kLeaving = 2;
+  mesh::Target description;
+  description.set_instance(this->target.instance);
+  description.set_born_ms(this->target.born_ms);
+  description.set_service(this->options.settings.target_service);
+  description.set_slots(this->target.slots);
+  if (this->accepts_work()) {
+    description.set_state(kTakesWork);
+  } else {
+    description.set_state(this->state == TargetState::kGone ? 0 : kLeaving);
+  }
+  const auto cold = this->cold_until - std::chrono::steady_clock::now();
+  description.set_cold_ms(
+      static_cast<std::uint32_t>(Microseconds(cold) / 1000));
+  *description.mutable_load() = this->DescribeLoad();
+  return description;
+}
+
+}  // namespace lycheewell::sidecar::requests
--- /dev/null
+++ b/packages/sidecar/src/sidecar.cpp
@@ -0,0 +1,558 @@
+#include "lycheewell/sidecar/sidecar.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <fstream>
+#include <sstream>
+
+#include "lycheewell/io/http/address.h"
+#include "lycheewell/sidecar/counters.h"
+#include "lycheewell/sidecar/decision_log.h"
+#include "lycheewell/sidecar/http/server.h"
+#include "lycheewell/sidecar/links/mesh.h"
+#include "lycheewell/sidecar/manifest/manifest_keeper.h"
+#include "lycheewell/sidecar/requests/accounts.h"
+#include "lycheewell/sidecar/requests/front.h"
+#include "lycheewell/sidecar/requests/gate.h"
+
+namespace lycheewell::sidecar {
+namespace asio = boost::asio;
+using core::routing::Distance;
+using daemon::events::Event;
+
+namespace {
+
+// After SIGTERM new requests are served for this long: clients learn within
+// two readiness checks, a second apart, that this daemon is not ready.
+constexpr core::Duration kServeAfterStop = std::chrono::milliseconds(2500);
+
+// The process ends this long before the grace is over.
+constexpr core::Duration kEndBeforeGrace = std::chrono::milliseconds(500);
+
+constexpr core::Duration kDrainCheckPeriod = std::chrono::milliseconds(50);
+
+constexpr std::uint32_t kNeverProven = 0xffffffffU;
+
+constexpr std::uint32_t kTargetTakesWork = 1;
+
+std::uint32_t Milliseconds(core::Duration duration) {
+  return static_cast<std::uint32_t>(std::max<std::int64_t>(
+      0,
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count()));
+}
+
+class Sidecar {
+ public:
+  explicit Sidecar(SidecarOptions new_options)
+      : options(std::move(new_options)),
+        context(1),
+        timers(this->context),
+        log(this->context, this->timers),
+        store(this->options.make_store(this->context, this->timers,
+                                       this->options.settings)),
+        manifest(this->timers, this->options.dialect, this->store, this->log),
+        mesh(this->context, this->timers, this->log,
+             {.settings = this->options.settings,
+              .store = this->store,
+              .hooks = this->MeshHooks()}),
+        accounts(this->timers, this->mesh),
+        gate(this->context, this->timers, this->log,
+             {.settings = this->options.settings,
+              .dialect = this->options.dialect,
+              .on_change = [this] { this->OnTargetChange(); }}),
+        front(this->timers, this->log,
+              {.settings = this->options.settings,
+               .dialect = this->options.dialect,
+               .manifest = this->manifest,
+               .mesh = this->mesh,
+               .accounts = this->accounts,
+               .gate = this->gate,
+               .counters = this->counters}),
+        clients(this->context, this->timers,
+                this->ServerFor(this->options.settings.clients_address,
+                                [this](const http::ExchangePointer& exchange) {
+                                  this->front.Serve(exchange);
+                                })),
+        announcements(
+            this->context, this->timers,
+            this->ServerFor(this->options.settings.announcements_address,
+                            [this](const http::ExchangePointer& exchange) {
+                              this->OnAnnouncement(exchange);
+                            })),
+        readiness(this->context, this->timers,
+                  this->ServerFor(this->options.settings.readiness_address,
+                                  [this](const http::ExchangePointer& exchange) {
+                                    this->OnReadiness(exchange);
+                                  })),
+        metrics(this->context, this->timers,
+                this->ServerFor(
+                    this->options.settings.address + ":" +
+                        std::to_string(this->options.settings.metrics_port),
+                    [this](const http::ExchangePointer& exchange) {
+                      this->OnMetrics(exchange);
+                    })),
+        signals(this->context, SIGTERM, SIGINT, SIGHUP) {}
+
+  void Run() {
+    const Settings& settings = this->options.settings;
+    this->log.Write(Event::kStarted, {{"name", settings.name},
+                                      {"address", settings.address},
+                                      {"data_centre", settings.data_centre},
+                                      {"service", settings.target_service},
+                                      {"store", settings.store_address}});
+    this->clients.Start();
+    this->announcements.Start();
+    this->readiness.Start();
+    this->metrics.Start();
+    this->manifest.Start();
+    this->mesh.Start();
+    this->AwaitSignal();
+    this->context.run();
+    this->log.Write(Event::kStopped, {});
+    this->log.Flush();
+  }
+
+ private:
+  http::ServerOptions ServerFor(
+      const std::string& address,
+      std::function<void(const http::ExchangePointer&)> handler) {
+    return {.endpoint = io::http::ParseEndpoint(address),
+            .handler = std::move(handler),
+            .limits = [this] { return this->Limits(); },
+            .on_bad_request =
+                [this](unsigned status, std::string_view reason) {
+                  this->counters.Count("bad_requests", std::to_string(status));
+                  this->log.Write(Event::kBadHttpRequest,
+                                  {{"status", std::to_string(status)},
+                                   {"reason", reason}});
+                }};
+  }
+
+  http::ServerLimits Limits() const {
+    const auto table = this->manifest.table();
+    if (!table) {
+      return {};
+    }
+    const core::manifest::ClientLimits& limits = table->manifest().limits;
+    return {.header_bytes = limits.header_bytes,
+            .body_bytes = limits.body_bytes,
+            .header_timeout = limits.header_timeout,
+            .idle_timeout = limits.idle_timeout};
+  }
+
+  links::Mesh::Hooks MeshHooks() {
+    return {
+        .on_frame = [this](const links::LinkPointer& link,
+                           mesh::Frame& frame) { this->OnFrame(link, frame); },
+        .on_target = [this](const std::string& member,
+                            const mesh::Target& target) {
+          this->PutTarget(member, target);
+        },
+        .on_reachable =
+            [this](const std::string& member, bool is_reachable) {
+              this->front.selector().SetReachable(member, is_reachable);
+            },
+        .on_lost =
+            [this](const std::string& member) {
+              this->front.OnLost(member);
+              this->accounts.OnLost(member);
+            },
+        .on_caller_lost =
+            [this](const links::LinkPointer& link) { this->DropCalls(link); },
+        .on_forgotten =
+            [this](const std::string& member) {
+              this->front.selector().Remove(member);
+            },
+        .fill_hello =
+            [this](mesh::Hello& hello) {
+              *hello.mutable_target() = this->gate.DescribeTarget();
+              hello.set_manifest_version(this->manifest.version());
+              for (const std::string& start : this->gate.retired_starts()) {
+                hello.add_retired_starts(start);
+              }
+              for (const std::string& start : this->peers_retired) {
+                hello.add_retired_starts(start);
+              }
+            },
+        .on_hello =
+            [this](const mesh::Hello& hello) {
+              for (const std::string& start : hello.retired_starts()) {
+                this->gate.Retire(start);
+              }
+              if (hello.manifest_version() > this->manifest.version()) {
+                mesh::Frame frame;
+                frame.mutable_manifest_wanted();
+                this->mesh.Send(hello.self().name(), frame);
+              }
+            }};
+  }
+
+  void PutTarget(const std::string& member, const mesh::Target& target) {
+    const core::Instant now = std::chrono::steady_clock::now();
+    if (target.instance().empty() || target.slots() == 0) {
+      this->front.selector().Remove(member);
+      return;
+    }
+    if (target.state() != kTargetTakesWork) {
+      this->RememberRetired(target);
+    }
+    Distance distance = Distance::kSameVm;
+    if (member != this->options.settings.name) {
+      distance = this->mesh.data_centre_of(member) ==
+                         this->options.settings.data_centre
+                     ? Distance::kSameDataCentre
+                     : Distance::kOtherDataCentre;
+    }
+    this->front.selector().Put(
+        member,
+        {.instance = target.instance(),
+         .service = target.service(),
+         .distance = distance,
+         .slots = static_cast<int>(target.slots()),
+         .accepts_work = target.state() == kTargetTakesWork,
+         .cold_until = now + std::chrono::milliseconds(target.cold_ms())},
+        now);
+    if (distance != Distance::kSameVm) {
+      this->front.selector().SetReachable(member,
+                                          this->mesh.is_reachable(member));
+    }
+    this->ReportLoad(member, target.load());
+  }
+
+  // A target that leaves is not to get work again when its daemon restarts.
+  void RememberRetired(const mesh::Target& target) {
+    constexpr std::uint32_t kLeaving = 2;
+    constexpr std::size_t kMost = 256;
+    if (target.state() == kLeaving && this->peers_retired.size() < kMost) {
+      this->peers_retired.insert(target.instance() + "@" +
+                                 std::to_string(target.born_ms()));
+    }
+  }
+
+  void ReportLoad(const std::string& member, const mesh::Load& load) {
+    this->front.selector().Report(
+        member,
+        {.running = static_cast<int>(load.running()),
+         .waiting = static_cast<int>(load.waiting()),
+         .mean_work = std::chrono::microseconds(load.mean_work_us())},
+        std::chrono::steady_clock::now());
+  }
+
+  void OnTargetChange() {
+    const mesh::Target description = this->gate.DescribeTarget();
+    this->PutTarget(this->options.settings.name, description);
+    mesh::Frame frame;
+    *frame.mutable_target() = description;
+    this->mesh.Broadcast(frame);
+  }
+
+  void OnFrame(const links::LinkPointer& link, mesh::Frame& frame) {
+    switch (frame.kind_case()) {
+      case mesh::Frame::kCall:
+        this->OnCall(link, *frame.mutable_call());
+        break;
+      case mesh::Frame::kReply:
+        this->front.OnReply(link->member, *frame.mutable_reply());
+        break;
+      case mesh::Frame::kCancel:
+        this->OnCancel(link, frame.cancel());
+        break;
+      case mesh::Frame::kTarget:
+        this->PutTarget(link->member, frame.target());
+        break;
+      case mesh::Frame::kPing:
+        this->OnPing(link, frame.ping());
+        break;
+      case mesh::Frame::kPong:
+        this->OnPong(link, frame.pong());
+        break;
+      case mesh::Frame::kManifest:
+        this->manifest.Adopt(frame.manifest().document(), link->member);
+        break;
+      case mesh::Frame::kManifestWanted: {
+        mesh::Frame answer;
+        answer.mutable_manifest()->set_version(this->manifest.version());
+        answer.mutable_manifest()->set_document(this->manifest.document());
+        link->Send(answer);
+        break;
+      }
+      case mesh::Frame::kTokenAsk: {
+        const auto table = this->manifest.table();
+        this->accounts.OnAsk(
+            link, frame.token_ask(),
+            table ? table->FindAccount(frame.token_ask().account()) : nullptr);
+        break;
+      }
+      case mesh::Frame::kTokenGrant:
+        this->accounts.OnGrant(frame.token_grant());
+        break;
+      default:
+        this->log.Write(Event::kBadPeerMessage,
+                        {{"member", link->member}, {"reason", "unknown kind"}});
+        break;
+    }
+  }
+
+  void OnCall(const links::LinkPointer& link, mesh::Call& call) {
+    const core::Instant now = std::chrono::steady_clock::now();
+    const std::uint64_t call_id = call.call_id();
+    auto& tickets = this->calls_of[link.get()];
+    tickets[call_id] = 0;
+    const requests::Gate::Ticket ticket = this->gate.Submit(
+        {.instance = call.instance(),
+         .request_id = call.request_id(),
+         .method = call.method(),
+         .path_and_query = call.path_and_query(),
+         .header_lines = std::move(*call.mutable_header_lines()),
+         .body = std::move(*call.mutable_body()),
+         .deadline = now + std::chrono::milliseconds(call.time_left_ms()),
+         .wanted_by = now + std::chrono::milliseconds(call.queue_limit_ms()),
+         .rank = static_cast<int>(call.rank()),
+         .is_idempotent = call.is_idempotent()},
+        [this, link, call_id](requests::GateReply reply) {
+          this->AnswerCall(link, call_id, std::move(reply));
+        });
+    const auto found = tickets.find(call_id);
+    if (found != tickets.end()) {
+      found->second = ticket;
+    }
+  }
+
+  void AnswerCall(const links::LinkPointer& link, std::uint64_t call_id,
+                  requests::GateReply reply) {
+    this->calls_of[link.get()].erase(call_id);
+    mesh::Frame frame;
+    mesh::Reply& answer = *frame.mutable_reply();
+    answer.set_call_id(call_id);
+    switch (reply.outcome) {
+      case requests::Outcome::kAnswered:
+        answer.set_outcome(mesh::ANSWERED);
+        break;
+      case requests::Outcome::kNotRun:
+        answer.set_outcome(mesh::NOT_RUN);
+        break;
+      case requests::Outcome::kMayHaveRun:
+        answer.set_outcome(mesh::MAY_HAVE_RUN);
+        break;
+    }
+    answer.set_status(reply.status);
+    answer.set_header_lines(std::move(reply.header_lines));
+    answer.set_body(std::move(reply.body));
+    answer.set_reason(std::move(reply.reason));
+    answer.set_retry_after_ms(Milliseconds(reply.retry_after));
+    *answer.mutable_load() = this->gate.DescribeLoad();
+    link->Send(frame);
+  }
+
+  void OnCancel(const links::LinkPointer& link, const mesh::Cancel& cancel) {
+    auto& tickets = this->calls_of[link.get()];
+    const auto found = tickets.find(cancel.call_id());
+    if (found == tickets.end()) {
+      return;
+    }
+    const requests::Gate::Ticket ticket = found->second;
+    tickets.erase(found);
+    this->gate.Cancel(ticket);
+  }
+
+  void DropCalls(const links::LinkPointer& link) {
+    const auto found = this->calls_of.find(link.get());
+    if (found == this->calls_of.end()) {
+      return;
+    }
+    const auto tickets = std::move(found->second);
+    this->calls_of.erase(found);
+    for (const auto& [call_id, ticket] : tickets) {
+      this->gate.Cancel(ticket);
+    }
+  }
+
+  void OnPing(const links::LinkPointer& link, const mesh::Ping& ping) {
+    mesh::Frame frame;
+    mesh::Pong& pong = *frame.mutable_pong();
+    pong.set_id(ping.id());
+    pong.set_manifest_version(this->manifest.version());
+    const auto age = this->manifest.proof_age();
+    pong.set_proof_age_ms(age ? Milliseconds(*age) + 1 : kNeverProven);
+    *pong.mutable_load() = this->gate.DescribeLoad();
+    link->Send(frame);
+  }
+
+  void OnPong(const links::LinkPointer& link, const mesh::Pong& pong) {
+    this->ReportLoad(link->member, pong.load());
+    if (pong.manifest_version() > this->manifest.version()) {
+      mesh::Frame frame;
+      frame.mutable_manifest_wanted();
+      link->Send(frame);
+    }
+    const auto asked_at = this->mesh.TakePing(link->member, pong.id());
+    if (asked_at && pong.proof_age_ms() != kNeverProven) {
+      this->manifest.LearnProof(
+          pong.manifest_version(),
+          std::chrono::milliseconds(pong.proof_age_ms()), *asked_at);
+    }
+  }
+
+  void OnAnnouncement(const http::ExchangePointer& exchange) {
+    auto decoded =
+        this->options.dialect.decode_announcement(exchange->request());
+    if (const auto* problem = std::get_if<Unusable>(&decoded)) {
+      this->counters.Count("announcements", "unreadable");
+      this->log.Write(Event::kAnnouncementRejected,
+                      {{"reason", problem->reason}});
+      exchange->Send({.status = 400});
+      return;
+    }
+    this->gate.Announce(std::get<Announcement>(decoded));
+    exchange->Send({.status = 200,
+                    .header_lines = "Content-Type: application/json\r\n",
+                    .body = "{}"});
+  }
+
+  bool is_ready() const {
+    return !this->stopping && this->manifest.table() &&
+           (this->mesh.has_listed_members() || this->mesh.daemon_count() > 1);
+  }
+
+  void OnReadiness(const http::ExchangePointer& exchange) {
+    if (!this->options.dialect.is_readiness_check(exchange->request())) {
+      exchange->Send({.status = 404});
+      return;
+    }
+    const bool ready = this->is_ready();
+    if (ready != this->was_ready) {
+      this->was_ready = ready;
+      this->log.Write(
+          Event::kReady,
+          {{"ready", ready ? "yes" : "no"},
+           {"manifest", std::to_string(this->manifest.version())},
+           {"daemons", std::to_string(this->mesh.daemon_count())}});
+    }
+    exchange->Send({.status = ready ? 200U : 503U});
+  }
+
+  void OnMetrics(const http::ExchangePointer& exchange) {
+    std::ostringstream text;
+    const auto age = this->manifest.proof_age();
+    const mesh::Load load = this->gate.DescribeLoad();
+    text << this->counters.Render() << "lycheewell_manifest_version "
+         << this->manifest.version() << "\nlycheewell_manifest_proof_age_seconds "
+         << (age ? Milliseconds(*age) / 1000.0 : -1)
+         << "\nlycheewell_store_reachable "
+         << (this->manifest.is_store_reachable() ? 1 : 0)
+         << "\nlycheewell_daemons_known " << this->mesh.daemon_count()
+         << "\nlycheewell_daemons_reachable_part "
+         << this->mesh.reachable_part() << "\nlycheewell_requests_open "
+         << this->front.open_requests() << "\nlycheewell_target_running "
+         << load.running() << "\nlycheewell_target_waiting " << load.waiting()
+         << "\nlycheewell_target_mean_work_seconds "
+         << static_cast<double>(load.mean_work_us()) / 1e6 << "\n";
+    exchange->Send({.status = 200,
+                    .header_lines = "Content-Type: text/plain\r\n",
+                    .body = text.str()});
+  }
+
+  void AwaitSignal() {
+    this->signals.async_wait(
+        [this](const boost::system::error_code& error, int signal) {
+          if (error) {
+            return;
+          }
+          if (signal == SIGHUP) {
+            this->Reload();
+          } else if (this->stopping) {
+            this->context.stop();
+            return;
+          } else {
+            this->BeginStop();
+          }
+          this->AwaitSignal();
+        });
+  }
+
+  // Addresses stay as they were bound; what can change is compared and logged.
+  void Reload() {
+    std::ifstream file(this->options.settings_path);
+    std::stringstream text;
+    text << file.rdbuf();
+    auto parsed = ParseSettings(text.str());
+    const auto* settings = std::get_if<Settings>(&parsed);
+    std::string outcome = "unchanged";
+    if (settings == nullptr) {
+      outcome = "unreadable, the last ones stay in force";
+    } else if (!(*settings == this->options.settings)) {
+      this->options.settings.bounds = settings->bounds;
+      outcome = *settings == this->options.settings
+                    ? "bounds changed"
+                    : "bounds changed, the rest needs a restart";
+    }
+    this->log.Write(Event::kSettingsReloaded, {{"outcome", outcome}});
+  }
+
+  void BeginStop() {
+    this->stopping = true;
+    this->log.Write(
+        Event::kDrainBegun,
+        {{"open_requests", std::to_string(this->front.open_requests())},
+         {"running", std::to_string(this->gate.running())}});
+    this->gate.BeginDrain();
+    this->mesh.SayLeaving();
+    this->clients.BeginDrain();
+    const core::Instant now = std::chrono::steady_clock::now();
+    this->CheckStopped(now + kServeAfterStop,
+                       now + this->options.settings.bounds.stop_grace -
+                           kEndBeforeGrace);
+  }
+
+  void CheckStopped(core::Instant serve_until, core::Instant end) {
+    const core::Instant now = std::chrono::steady_clock::now();
+    if (now >= serve_until) {
+      this->clients.Close();
+    }
+    const bool is_done = now >= serve_until &&
+                         this->front.open_requests() == 0 &&
+                         this->gate.running() == 0 &&
+                         this->clients.connection_count() == 0;
+    if (is_done || now >= end) {
+      this->context.stop();
+      return;
+    }
+    this->timers.After(kDrainCheckPeriod, [this, serve_until, end] {
+      this->CheckStopped(serve_until, end);
+    });
+  }
+
+  SidecarOptions options;
+  asio::io_context context;
+  TimerQueue timers;
+  DecisionLog log;
+  StoreHooks store;
+  Counters counters;
+  manifest::ManifestKeeper manifest;
+  links::Mesh mesh;
+  requests::Accounts accounts;
+  requests::Gate gate;
+  requests::Front front;
+  http::Server clients;
+  http::Server announcements;
+  http::Server readiness;
+  http::Server metrics;
+  asio::signal_set signals;
+  // Tickets of the calls that came on a link, by call id.
+  std::map<const links::Link*,
+           std::unordered_map<std::uint64_t, requests::Gate::Ticket>>
+      calls_of;
+  std::set<std::string> peers_retired;
+  bool stopping = false;
+  bool was_ready = false;
+};
+
+}  // namespace
+
+void RunSidecar(SidecarOptions options) {
+  signal(SIGPIPE, SIG_IGN);
+  Sidecar sidecar(std::move(options));
+  sidecar.Run();
+}
+
+}  // namespace lycheewell::sidecar
--- /dev/null
+++ b/packages/sidecar/src/timer_queue.cpp
@@ -0,0 +1,55 @@
+#include "lycheewell/sidecar/timer_queue.h"
+
+namespace lycheewell::sidecar {
+
+TimerQueue::Id TimerQueue::At(core::Instant when,
+                              std::function<void()> action) {
+  const Id id = ++this->last_id;
+  this->actions.emplace(Key{when, id}, std::move(action));
+  this->times.emplace(id, when);
+  this->Arm();
+  return id;
+}
+
+TimerQueue::Id TimerQueue::After(core::Duration delay,
+                                 std::function<void()> action) {
+  return this->At(std::chrono::steady_clock::now() + delay, std::move(action));
+}
+
+void TimerQueue::Cancel(Id& id) {
+  const auto found = this->times.find(id);
+  if (found != this->times.end()) {
+    this->actions.erase(Key{found->second, id});
+    this->times.erase(found);
+  }
+  id = 0;
+}
+
+void TimerQueue::Arm() {
+  if (this->actions.empty() ||
+      this->actions.begin()->first.first >= this->armed_for) {
+    return;
+  }
+  this->armed_for = this->actions.begin()->first.first;
+  this->timer.expires_at(this->armed_for);
+  this->timer.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      this->RunDue();
+    }
+  });
+}
+
+void TimerQueue::RunDue() {
+  const core::Instant now = std::chrono::steady_clock::now();
+  while (!this->actions.empty() && this->actions.begin()->first.first <= now) {
+    const auto first = this->actions.begin();
+    const std::function<void()> action = std::move(first->second);
+    this->times.erase(first->first.second);
+    this->actions.erase(first);
+    action();
+  }
+  this->armed_for = core::Instant::max();
+  this->Arm();
+}
+
+}  // namespace lycheewell::sidecar
--- a/tests/daemon/concurrency_test.cpp
+++ b/tests/daemon/concurrency_test.cpp
@@ -9,8 +9,8 @@
 
 #include "lycheewell/daemon/tables/configuration_table.h"
 #include "lycheewell/daemon/tables/guarded.h"
-#include "lycheewell/platform/async/cancellation.h"
-#include "lycheewell/platform/async/waiter.h"
+#include "lycheewell/io/async/cancellation.h"
+#include "lycheewell/io/async/waiter.h"
 
 namespace {
 
@@ -68,10 +68,10 @@
   std::atomic<int> delivered = 0;
   std::atomic<int> timed_out = 0;
   constexpr int kWaits = 200;
-  std::vector<std::shared_ptr<platform::async::Waiter<int>>> waiters;
+  std::vector<std::shared_ptr<io::async::Waiter<int>>> waiters;
   for (int index = 0; index < kWaits; ++index) {
     waiters.push_back(
-        std::make_shared<platform::async::Waiter<int>>(context.get_executor()));
+        std::make_shared<io::async::Waiter<int>>(context.get_executor()));
     const auto wait = [&, waiter = waiters.back(),
                        never =
                            index % 10 == 0]() -> boost::asio::awaitable<void> {
@@ -97,7 +97,7 @@
 
 TEST_CASE("a cancellation calls each callback once", "[concurrency]") {
   for (int round = 0; round < 100; ++round) {
-    auto cancellation = std::make_shared<platform::async::Cancellation>();
+    auto cancellation = std::make_shared<io::async::Cancellation>();
     std::atomic<int> called = 0;
     RunThreads([&](int index) {
       if (index == 0) {
--- a/tests/harness/caller.cpp
+++ b/tests/harness/caller.cpp
@@ -3,11 +3,11 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
-#include "lycheewell/platform/http/address.h"
+#include "lycheewell/io/http/address.h"
 
 namespace lycheewell::harness {
 namespace beast = boost::beast;
-namespace http = platform::http;
+namespace http = io::http;
 
 namespace {
 
--- a/tests/harness/caller.h
+++ b/tests/harness/caller.h
@@ -8,7 +8,7 @@
 #include <optional>
 #include <string>
 
-#include "lycheewell/platform/http/message.h"
+#include "lycheewell/io/http/message.h"
 
 namespace lycheewell::harness {
 
--- a/tests/standins/platform_log.cpp
+++ b/tests/standins/platform_log.cpp
@@ -16,12 +16,12 @@
 #include <string>
 #include <vector>
 
-#include "lycheewell/platform/http/server.h"
+#include "lycheewell/io/http/server.h"
 
 namespace {
 
 namespace asio = boost::asio;
-namespace http = lycheewell::platform::http;
+namespace http = lycheewell::io::http;
 namespace json = boost::json;
 
 std::uint64_t NumberIn(const std::string& query, const char* name) {
@@ -36,7 +36,7 @@
  public:
   asio::awaitable<std::optional<http::Response>> Handle(
       http::Request request,
-      lycheewell::platform::async::CancellationPointer cancellation) {
+      lycheewell::io::async::CancellationPointer cancellation) {
     const http::Target target = http::SplitTarget(http::View(request.target()));
     if (target.path == "/control") {
       this->Control(request.body());
@@ -104,7 +104,7 @@
 
   asio::awaitable<std::optional<http::Response>> Read(
       std::string query,
-      lycheewell::platform::async::CancellationPointer cancellation) {
+      lycheewell::io::async::CancellationPointer cancellation) {
     const std::uint64_t from = NumberIn(query, "from");
     const std::uint64_t limit = NumberIn(query, "limit");
     const std::uint64_t wait_ms = NumberIn(query, "wait_ms");
@@ -155,7 +155,7 @@
   http::Server server(
       context, {.address = address.getValue(), .body_limit = 64 * 1024 * 1024},
       [&](http::Request request,
-          lycheewell::platform::async::CancellationPointer cancellation) {
+          lycheewell::io::async::CancellationPointer cancellation) {
         return log.Handle(std::move(request), std::move(cancellation));
       });
   server.Start();
--- a/tests/standins/target.cpp
+++ b/tests/standins/target.cpp
@@ -18,15 +18,15 @@
 #include <iostream>
 #include <string>
 
-#include "lycheewell/platform/http/client.h"
-#include "lycheewell/platform/http/server.h"
+#include "lycheewell/io/http/client.h"
+#include "lycheewell/io/http/server.h"
 
 namespace {
 
 namespace asio = boost::asio;
-namespace http = lycheewell::platform::http;
+namespace http = lycheewell::io::http;
 namespace json = boost::json;
-using lycheewell::platform::async::CancellationPointer;
+using lycheewell::io::async::CancellationPointer;
 
 constexpr unsigned kHttpVersion = 11;
 constexpr int kCrashExit = 3;
