--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <sstream>
 
@@ -24,7 +25,12 @@
 
 // After SIGTERM new requests are served for this long: clients learn within
 // two readiness checks, a second apart, that this daemon is not ready.
-constexpr core::Duration kServeAfterStop = std::chrono::milliseconds(2500);
+constexpr core::Duration kServeAfterStop = std::chrono::milliseconds(2300);
+
+// The target beside a stopping daemon takes new work until then; afterwards
+// there is time for what runs.
+constexpr core::Duration kTargetServesAfterStop =
+    std::chrono::milliseconds(1500);
 
 // The process ends this long before the grace is over.
 constexpr core::Duration kEndBeforeGrace = std::chrono::milliseconds(500);
@@ -495,9 +501,11 @@
         Event::kDrainBegun,
         {{"open_requests", std::to_string(this->front.open_requests())},
          {"running", std::to_string(this->gate.running())}});
-    this->gate.BeginDrain();
-    this->mesh.SayLeaving();
     this->clients.BeginDrain();
+    this->timers.After(kTargetServesAfterStop, [this] {
+      this->gate.BeginDrain();
+      this->mesh.SayLeaving();
+    });
     const core::Instant now = std::chrono::steady_clock::now();
     this->CheckStopped(now + kServeAfterStop,
                        now + this->options.settings.bounds.stop_grace -
@@ -553,6 +561,9 @@
   signal(SIGPIPE, SIG_IGN);
   Sidecar sidecar(std::move(options));
   sidecar.Run();
+  // The logging library's threads can hold up a usual exit until the platform
+  // kills the process; all is written and all sockets may close as they are.
+  std::quick_exit(0);
 }
 
 }  // namespace lycheewell::sidecar
