--- a/packages/core/include/lycheewell/core/overload/slot_gate.h
+++ b/packages/core/include/lycheewell/core/overload/slot_gate.h
@@ -24,6 +24,9 @@
   bool operator==(const SlotRequest&) const = default;
 };
 
+// One free slot in this many goes to the highest waiting rank.
+inline constexpr std::uint64_t kFairTurn = 10;
+
 enum class SlotVerdict { kRun, kWait, kRefuse };
 
 // What the gate decided about waiting requests.
@@ -34,8 +37,10 @@
   bool operator==(const SlotTurns&) const = default;
 };
 
-// Work per slot is learnt from completions, so a slow target is recognised by
-// its expected wait.
+// Lower ranks go first, but every kFairTurn-th free slot goes to the highest
+// rank that waits: under overload nothing starves, and a kind of request that
+// needs little gets it. Work per slot is learnt from completions, so a slow
+// target is recognised by its expected wait.
 class SlotGate {
  public:
   struct Options {
@@ -69,7 +74,7 @@
 
   int slots() const { return this->most; }
   int running() const { return this->busy; }
-  std::size_t waiting() const { return this->queue.size(); }
+  std::size_t waiting() const { return this->by_ticket.size(); }
 
   // Wait that a new request of `rank` has to expect.
   Duration ExpectedWait(int rank) const;
@@ -81,19 +86,21 @@
   Instant next_expiry() const;
 
  private:
-  using Key = std::pair<int, std::uint64_t>;  // rank, order of arrival
+  // Waiting requests of one rank in the order of their arrival.
+  using Line = std::map<std::uint64_t, SlotRequest>;
 
-  std::size_t WaitingBefore(int rank) const;
+  double WorkPerTurn() const;
+  Duration WaitAt(int rank, std::size_t ahead_in_rank) const;
+  std::map<int, Line>::iterator NextLine();
+  void Erase(std::map<int, Line>::iterator line, Line::iterator entry);
 
   int most = 1;
   int busy = 0;
   double mean_work_ns = 0;
   std::uint64_t arrivals = 0;
-  std::map<Key, SlotRequest> queue;
-  std::unordered_map<std::uint64_t, Key> by_ticket;
-  std::map<int, std::size_t> waiting_by_rank;
-
-  void Erase(std::map<Key, SlotRequest>::iterator entry);
+  std::uint64_t turns_taken = 0;
+  std::map<int, Line> lines;  // by rank; none is empty
+  std::unordered_map<std::uint64_t, std::pair<int, std::uint64_t>> by_ticket;
 };
 
 }  // namespace lycheewell::core::overload
--- a/packages/sidecar/include/lycheewell/sidecar/http/server.h
+++ b/packages/sidecar/include/lycheewell/sidecar/http/server.h
@@ -32,7 +32,7 @@
 class ServerExchange {
  public:
   ServerExchange(std::weak_ptr<ServerConnection> connection,
-                 io::http::Request request, bool is_from_own_vm);
+                 io::http::Request request);
 
   // Commands.
 
@@ -47,14 +47,12 @@
   const io::http::Request& request() const { return this->message; }
   io::http::Request& request() { return this->message; }
   bool is_answered() const { return this->answered; }
-  bool is_from_own_vm() const { return this->own_vm; }
 
  private:
   friend class ServerConnection;
   std::weak_ptr<ServerConnection> connection;
   io::http::Request message;
   std::function<void()> gone;
-  bool own_vm;
   bool answered = false;
 };
 
--- a/packages/sidecar/include/lycheewell/sidecar/requests/front.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/front.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "lycheewell/core/overload/entry_admission.h"
 #include "lycheewell/core/retry/window_budget.h"
 #include "lycheewell/core/routing/route_table.h"
 #include "lycheewell/core/routing/target_selector.h"
@@ -51,10 +52,13 @@
   void OnLost(const std::string& member);
 
   core::routing::TargetSelector& selector() { return this->targets; }
+  core::overload::EntryAdmission& admission() { return this->entry; }
 
   // Queries.
 
   std::size_t open_requests() const { return this->open; }
+  // When a call of the target beside this daemon last found no slot.
+  core::Instant last_starved_call() const { return this->starved_at; }
 
  private:
   struct Pending;
@@ -71,6 +75,7 @@
               std::string_view reason, core::Duration retry_after);
   void Fail(const PendingPointer& pending, unsigned status,
             std::string_view reason);
+  void NoteStarved(const PendingPointer& pending);
   void Close(const PendingPointer& pending);
   core::retry::WindowBudget& BudgetOf(const std::string& service);
 
@@ -78,6 +83,8 @@
   DecisionLog& log;
   Options options;
   core::routing::TargetSelector targets;
+  core::overload::EntryAdmission entry;
+  core::Instant starved_at;
   std::map<std::string, core::retry::WindowBudget> budgets;
   std::map<std::string, core::routing::WeightedTurns> turns;
   std::unordered_map<std::uint64_t, PendingPointer> remote;  // by call id
--- a/packages/sidecar/include/lycheewell/sidecar/requests/gate.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/gate.h
@@ -13,6 +13,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "lycheewell/core/overload/entry_admission.h"
 #include "lycheewell/core/overload/slot_gate.h"
 #include "lycheewell/sidecar/decision_log.h"
 #include "lycheewell/sidecar/hooks.h"
@@ -26,6 +27,7 @@
 struct GateCall {
   std::string instance;  // the start of the target that was chosen
   std::string request_id;
+  std::string route;
   std::string method;
   std::string path_and_query;
   std::string header_lines;
@@ -37,6 +39,9 @@
   bool is_idempotent = false;
 };
 
+// Reason of a refusal because the target's slots are taken for too long.
+inline constexpr std::string_view kNoSlot = "no slot in time";
+
 enum class Outcome { kAnswered, kNotRun, kMayHaveRun };
 
 struct GateReply {
@@ -46,6 +51,9 @@
   std::string body;
   std::string reason;
   core::Duration retry_after{};
+  // The run failed after a call that the target made had found no slot, here
+  // or further down.
+  bool is_starved = false;
 };
 
 class Gate {
@@ -58,6 +66,8 @@
     const DialectHooks& dialect;
     // The target's state has changed.
     std::function<void()> on_change;
+    // When a call that the target made was last refused.
+    std::function<core::Instant()> last_starved_call;
   };
 
   Gate(boost::asio::io_context& context, TimerQueue& timers, DecisionLog& log,
@@ -90,8 +100,15 @@
   }
   std::size_t running() const { return this->running_calls; }
   bool accepts_work() const;
+  // Routes whose runs ended here lately.
+  std::map<std::string, core::overload::RouteOutcomes> RecentOutcomes() const;
 
  private:
+  struct RouteRecord {
+    core::overload::RouteOutcomes outcomes;
+    core::Instant touched_at;
+  };
+
   struct Call {
     GateCall request;
     Callback done;
@@ -127,6 +144,8 @@
   TimerQueue::Id expiry = 0;
   core::Instant expiry_at = core::Instant::max();
 
+  std::map<std::string, RouteRecord> outcomes;  // by route
+
   Announcement target;  // newest word of the target
   TargetState state = TargetState::kGone;
   core::Instant heard_at;
--- a/packages/sidecar/src/http/server.cpp
+++ b/packages/sidecar/src/http/server.cpp
@@ -51,11 +51,6 @@
   ServerConnection(Server& new_server, tcp::socket new_socket)
       : server(new_server), socket(std::move(new_socket)) {
     SetSocketOptions(this->socket);
-    boost::system::error_code error;
-    const auto remote = this->socket.remote_endpoint(error);
-    const auto local = this->socket.local_endpoint(error);
-    this->own_vm = !error && (remote.address() == local.address() ||
-                              remote.address().is_loopback());
   }
 
   void Start() {
@@ -240,7 +235,7 @@
     this->server.timers.Cancel(this->timer);
     this->closes_after = !this->parser->keep_alive();
     this->exchange = std::make_shared<ServerExchange>(
-        this->weak_from_this(), this->parser->release(), this->own_vm);
+        this->weak_from_this(), this->parser->release());
     this->parser.reset();
     this->server.options.handler(this->exchange);
   }
@@ -267,7 +262,6 @@
   std::optional<Parser> parser;
   ExchangePointer exchange;
   TimerQueue::Id timer = 0;
-  bool own_vm = false;
   bool reading = false;
   bool writing = false;
   bool closes_after = false;
@@ -277,10 +271,8 @@
 };
 
 ServerExchange::ServerExchange(std::weak_ptr<ServerConnection> new_connection,
-                               io::http::Request request, bool is_from_own_vm)
-    : connection(std::move(new_connection)),
-      message(std::move(request)),
-      own_vm(is_from_own_vm) {}
+                               io::http::Request request)
+    : connection(std::move(new_connection)), message(std::move(request)) {}
 
 void ServerExchange::Send(const Answer& answer) {
   if (this->answered) {
--- a/packages/sidecar/src/requests/front.cpp
+++ b/packages/sidecar/src/requests/front.cpp
@@ -21,6 +21,10 @@
 constexpr core::Duration kLeastRetryAfter = std::chrono::milliseconds(100);
 constexpr core::Duration kMostRetryAfter = std::chrono::seconds(2);
 
+// Retry-After of requests whose calls would find no room: the admitted part of
+// a route is judged anew every second.
+constexpr core::Duration kEntryRetryAfter = std::chrono::milliseconds(1500);
+
 // Other targets asked after refusals that came before the request was sent to
 // a target. Each costs a round trip.
 constexpr int kMostRefusals = 3;
@@ -36,6 +40,8 @@
 // A later answer than this before the limit cannot reach the client in time.
 constexpr core::Duration kLeastTimeLeft = std::chrono::milliseconds(2);
 
+constexpr std::string_view kNoSlotExpected = "no slot expected in time";
+
 std::string_view PathOf(std::string_view path_and_query) {
   return path_and_query.substr(0, path_and_query.find('?'));
 }
@@ -90,6 +96,7 @@
     : timers(new_timers),
       log(new_log),
       options(std::move(new_options)),
+      entry(std::chrono::steady_clock::now()),
       generator(std::random_device{}()),
       random([this] { return this->generator(); }) {}
 
@@ -142,12 +149,9 @@
 
 void Front::Admit(const PendingPointer& pending) {
   const Route& route = *pending->route;
-  // The account's priority goes before the route's; a call of a running
-  // request goes before new requests of the same importance.
+  // The account's priority goes before the route's.
   constexpr int kAccountStep = 64;
-  constexpr int kRouteStep = 2;
-  int rank = route.priority * kRouteStep +
-             (pending->exchange->is_from_own_vm() ? 0 : 1);
+  int rank = route.priority;
   if (!route.is_open && pending->table->has_accounts()) {
     if (pending->request.key) {
       pending->account =
@@ -169,6 +173,11 @@
       return;
     }
     rank += pending->account->priority.value_or(route.priority) * kAccountStep;
+    if (!this->entry.Admit(route.name, route.priority, pending->arrived_at)) {
+      this->Refuse(pending, 503, "its calls would find no room",
+                   kEntryRetryAfter);
+      return;
+    }
   } else {
     rank += route.priority * kAccountStep;
   }
@@ -228,7 +237,7 @@
     return;
   }
   if (now + choice->expected_wait > pending->wanted_by) {
-    this->Refuse(pending, 503, "no slot expected in time",
+    this->Refuse(pending, 503, kNoSlotExpected,
                  choice->expected_wait);
     return;
   }
@@ -254,6 +263,7 @@
     const Gate::Ticket ticket = this->options.gate.Submit(
         {.instance = choice.instance,
          .request_id = pending->request.id,
+         .route = pending->route->name,
          .method = pending->request.method,
          .path_and_query = pending->request.path_and_query,
          .header_lines = std::move(lines),
@@ -286,6 +296,7 @@
   call.set_time_left_ms(MillisecondsLeft(pending->deadline, now));
   call.set_queue_limit_ms(MillisecondsLeft(pending->wanted_by, now));
   call.set_rank(static_cast<std::uint32_t>(std::max(0, pending->rank)));
+  call.set_route(pending->route->name);
   call.set_is_idempotent(pending->route->is_idempotent);
   this->remote.emplace(pending->call_id, pending);
   if (!this->options.mesh.Send(choice.member, frame)) {
@@ -322,7 +333,8 @@
                    .body = std::move(*reply.mutable_body()),
                    .reason = reply.reason(),
                    .retry_after =
-                       std::chrono::milliseconds(reply.retry_after_ms())});
+                       std::chrono::milliseconds(reply.retry_after_ms()),
+                   .is_starved = reply.is_starved()});
 }
 
 void Front::OnLost(const std::string& member) {
@@ -344,6 +356,9 @@
   this->targets.RecordDone(pending->member);
   pending->call_id = 0;
   if (reply.outcome == Outcome::kAnswered) {
+    if (reply.is_starved) {
+      this->NoteStarved(pending);
+    }
     if (this->log.WouldWrite(Event::kCallAnswered)) {
       this->log.Write(Event::kCallAnswered,
                       {{"request", pending->request.id},
@@ -450,6 +465,13 @@
   pending->ticket = 0;
 }
 
+void Front::NoteStarved(const PendingPointer& pending) {
+  // Targets' own calls carry no key.
+  if (pending->account == nullptr && pending->table->has_accounts()) {
+    this->starved_at = std::chrono::steady_clock::now();
+  }
+}
+
 void Front::Refuse(const PendingPointer& pending, unsigned status,
                    std::string_view reason, core::Duration retry_after) {
   const core::Instant now = std::chrono::steady_clock::now();
@@ -474,6 +496,9 @@
          {"after_ms", Text(now - pending->arrived_at)}});
   }
   this->options.counters.Count("requests_refused", reason);
+  if (reason == kNoSlot || reason == kNoSlotExpected) {
+    this->NoteStarved(pending);
+  }
   std::string lines;
   if (status == kTooMany || status == kUnavailable) {
     lines = RetryAfterLine(
--- a/packages/sidecar/src/requests/gate.cpp
+++ b/packages/sidecar/src/requests/gate.cpp
@@ -34,6 +34,9 @@
 // Other daemons' targets can take the request at once.
 constexpr core::Duration kElsewhere = std::chrono::milliseconds(0);
 
+// Routes without an ended run for this long are not reported.
+constexpr core::Duration kOutcomesReportedFor = std::chrono::seconds(5);
+
 // Instances remembered as retired.
 constexpr std::size_t kMostRetired = 64;
 
@@ -123,7 +126,7 @@
       this->ScheduleExpiry();
       break;
     case core::overload::SlotVerdict::kRefuse:
-      this->Refuse(ticket, "no slot in time",
+      this->Refuse(ticket, kNoSlot,
                    this->slots.ExpectedWait(entry.request.rank));
       break;
   }
@@ -239,6 +242,15 @@
                         .header_lines = std::move(answer.header_lines),
                         .body = std::move(response->body())};
       is_sample = true;
+      constexpr unsigned kFirstFailure = 500;
+      RouteRecord& record = this->outcomes[call.request.route];
+      record.touched_at = now;
+      ++record.outcomes.ended;
+      if (reply.status >= kFirstFailure &&
+          this->options.last_starved_call() >= call.started_at) {
+        ++record.outcomes.starved;
+        reply.is_starved = true;
+      }
     }
     if (call.connection->is_usable()) {
       this->idle.push_back(call.connection);
@@ -300,7 +312,7 @@
     this->Run(ticket);
   }
   for (const Ticket ticket : turns.refuse) {
-    this->Refuse(ticket, "no slot in time", kLeastRetryAfter);
+    this->Refuse(ticket, kNoSlot, kLeastRetryAfter);
   }
 }
 
@@ -478,6 +490,18 @@
   this->RefuseWaiting("the daemon stops");
 }
 
+std::map<std::string, core::overload::RouteOutcomes> Gate::RecentOutcomes()
+    const {
+  const core::Instant now = std::chrono::steady_clock::now();
+  std::map<std::string, core::overload::RouteOutcomes> recent;
+  for (const auto& [route, record] : this->outcomes) {
+    if (now - record.touched_at < kOutcomesReportedFor) {
+      recent.emplace(route, record.outcomes);
+    }
+  }
+  return recent;
+}
+
 mesh::Load Gate::DescribeLoad() const {
   mesh::Load load;
   load.set_running(static_cast<std::uint32_t>(this->slots.running()));
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -37,6 +37,9 @@
 
 constexpr core::Duration kDrainCheckPeriod = std::chrono::milliseconds(50);
 
+// As often as peers report theirs.
+constexpr core::Duration kOwnOutcomesPeriod = std::chrono::seconds(1);
+
 constexpr std::uint32_t kNeverProven = 0xffffffffU;
 
 constexpr std::uint32_t kTargetTakesWork = 1;
@@ -65,7 +68,9 @@
         gate(this->context, this->timers, this->log,
              {.settings = this->options.settings,
               .dialect = this->options.dialect,
-              .on_change = [this] { this->OnTargetChange(); }}),
+              .on_change = [this] { this->OnTargetChange(); },
+              .last_starved_call =
+                  [this] { return this->front.last_starved_call(); }}),
         front(this->timers, this->log,
               {.settings = this->options.settings,
                .dialect = this->options.dialect,
@@ -112,6 +117,7 @@
     this->metrics.Start();
     this->manifest.Start();
     this->mesh.Start();
+    this->ReportOwnOutcomes();
     this->AwaitSignal();
     this->context.run();
     this->log.Write(Event::kStopped, {});
@@ -307,6 +313,7 @@
     const requests::Gate::Ticket ticket = this->gate.Submit(
         {.instance = call.instance(),
          .request_id = call.request_id(),
+         .route = call.route(),
          .method = call.method(),
          .path_and_query = call.path_and_query(),
          .header_lines = std::move(*call.mutable_header_lines()),
@@ -345,6 +352,7 @@
     answer.set_header_lines(std::move(reply.header_lines));
     answer.set_body(std::move(reply.body));
     answer.set_reason(std::move(reply.reason));
+    answer.set_is_starved(reply.is_starved);
     answer.set_retry_after_ms(Milliseconds(reply.retry_after));
     *answer.mutable_load() = this->gate.DescribeLoad();
     link->Send(frame);
@@ -381,11 +389,22 @@
     const auto age = this->manifest.proof_age();
     pong.set_proof_age_ms(age ? Milliseconds(*age) + 1 : kNeverProven);
     *pong.mutable_load() = this->gate.DescribeLoad();
+    for (const auto& [route, outcomes] : this->gate.RecentOutcomes()) {
+      mesh::RouteOutcomes& reported = *pong.add_outcomes();
+      reported.set_route(route);
+      reported.set_ended(outcomes.ended);
+      reported.set_starved(outcomes.starved);
+    }
     link->Send(frame);
   }
 
   void OnPong(const links::LinkPointer& link, const mesh::Pong& pong) {
     this->ReportLoad(link->member, pong.load());
+    for (const mesh::RouteOutcomes& reported : pong.outcomes()) {
+      this->front.admission().Report(
+          link->member, reported.route(),
+          {.ended = reported.ended(), .starved = reported.starved()});
+    }
     if (pong.manifest_version() > this->manifest.version()) {
       mesh::Frame frame;
       frame.mutable_manifest_wanted();
@@ -458,6 +477,16 @@
                     .body = text.str()});
   }
 
+  // The target beside this daemon counts like those of peers.
+  void ReportOwnOutcomes() {
+    for (const auto& [route, outcomes] : this->gate.RecentOutcomes()) {
+      this->front.admission().Report(this->options.settings.name, route,
+                                     outcomes);
+    }
+    this->timers.After(kOwnOutcomesPeriod,
+                       [this] { this->ReportOwnOutcomes(); });
+  }
+
   void AwaitSignal() {
     this->signals.async_wait(
         [this](const boost::system::error_code& error, int signal) {
