--- a/packages/core/src/overload/entry_admission.cpp
+++ b/packages/core/src/overload/entry_admission.cpp
@@ -13,8 +13,8 @@
 
 // Above this part of starved runs a route is cut, below the second one it
 // recovers. Some refusals show that the room downstream is used.
-constexpr double kCutAbove = 0.10;
-constexpr double kRecoverBelow = 0.05;
+constexpr double kCutAbove = 0.30;
+constexpr double kRecoverBelow = 0.20;
 
 // Part of a route that always enters: it probes for room, and no kind of
 // request starves while others are served.
@@ -26,8 +26,8 @@
 
 // One judgement cuts at most to this part, and recovers by this.
 constexpr double kStrongestCut = 0.5;
-constexpr double kRecoveryFactor = 1.15;
-constexpr double kRecoveryStep = 0.02;
+constexpr double kRecoveryFactor = 1.3;
+constexpr double kRecoveryStep = 0.03;
 
 }  // namespace
 
