--- a/packages/core/src/overload/entry_admission.cpp
+++ b/packages/core/src/overload/entry_admission.cpp
@@ -22,12 +22,12 @@
 
 // A more important route is cut only once the less important ones that starve
 // with it are at this part.
-constexpr double kCutFirstTo = 0.2;
+constexpr double kCutFirstTo = 0.3;
 
 // One judgement cuts at most to this part, and recovers by this.
 constexpr double kStrongestCut = 0.5;
-constexpr double kRecoveryFactor = 1.3;
-constexpr double kRecoveryStep = 0.03;
+constexpr double kRecoveryFactor = 1.6;
+constexpr double kRecoveryStep = 0.05;
 
 }  // namespace
 
--- a/packages/sidecar/include/lycheewell/sidecar/manifest/manifest_keeper.h
+++ b/packages/sidecar/include/lycheewell/sidecar/manifest/manifest_keeper.h
@@ -19,8 +19,11 @@
 
 class ManifestKeeper {
  public:
+  // `wait` is how long one wait for a newer manifest lasts. A wait proves the
+  // manifest to be the newest only when it returns, and counts from its start.
   ManifestKeeper(TimerQueue& timers, const DialectHooks& dialect,
-                 const StoreHooks& store, DecisionLog& log);
+                 const StoreHooks& store, DecisionLog& log,
+                 core::Duration wait);
 
   // Commands.
 
@@ -65,6 +68,7 @@
   const DialectHooks& dialect;
   const StoreHooks& store;
   DecisionLog& log;
+  core::Duration wait;
   std::shared_ptr<const core::routing::RouteTable> current;
   std::string text;
   std::uint64_t end = 0;
--- a/packages/sidecar/include/lycheewell/sidecar/requests/gate.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/gate.h
@@ -5,6 +5,7 @@
 #include <mesh.pb.h>
 
 #include <boost/asio/io_context.hpp>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -130,6 +131,7 @@
   void SetState(TargetState state, std::string_view reason);
   void WatchSilence();
   std::shared_ptr<http::ClientConnection> TakeConnection(bool is_idempotent);
+  void KeepConnection(std::shared_ptr<http::ClientConnection> connection);
 
   boost::asio::io_context& context;
   TimerQueue& timers;
@@ -138,7 +140,7 @@
   boost::asio::ip::tcp::endpoint target_endpoint;
   core::overload::SlotGate slots;
   std::unordered_map<Ticket, Call> calls;
-  std::vector<std::shared_ptr<http::ClientConnection>> idle;
+  std::deque<std::shared_ptr<http::ClientConnection>> idle;  // newest last
   Ticket last_ticket = 0;
   std::size_t running_calls = 0;
   TimerQueue::Id expiry = 0;
--- a/packages/sidecar/src/manifest/manifest_keeper.cpp
+++ b/packages/sidecar/src/manifest/manifest_keeper.cpp
@@ -7,11 +7,6 @@
 
 namespace {
 
-// A wait proves the manifest to be the newest only when it returns, and counts
-// from its start: two waits and their calls fit well into the seconds within
-// which a withdrawn key must stop working.
-constexpr core::Duration kWait = std::chrono::milliseconds(1200);
-
 // Pause after a failed call: short against the time within which a manifest
 // must be in force everywhere.
 constexpr core::Duration kRetryPause = std::chrono::milliseconds(200);
@@ -29,11 +24,12 @@
 ManifestKeeper::ManifestKeeper(TimerQueue& new_timers,
                                const DialectHooks& new_dialect,
                                const StoreHooks& new_store,
-                               DecisionLog& new_log)
+                               DecisionLog& new_log, core::Duration new_wait)
     : timers(new_timers),
       dialect(new_dialect),
       store(new_store),
-      log(new_log) {}
+      log(new_log),
+      wait(new_wait) {}
 
 void ManifestKeeper::Start() { this->ReadNewest(); }
 
@@ -46,7 +42,7 @@
 
 void ManifestKeeper::AwaitNewer() {
   this->store.await_manifest(
-      this->end, kWait, [this, sent_at = TimeSinceBoot()](auto result) {
+      this->end, this->wait, [this, sent_at = TimeSinceBoot()](auto result) {
         this->Handle(std::move(result), sent_at);
       });
 }
--- a/packages/sidecar/src/requests/gate.cpp
+++ b/packages/sidecar/src/requests/gate.cpp
@@ -17,7 +17,7 @@
 // a shorter one. For a request that cannot be repeated a connection that the
 // target may be about to close is worth less than a new one.
 constexpr core::Duration kReuseWithin = std::chrono::seconds(4);
-constexpr core::Duration kReuseWithinForUnsafe = std::chrono::seconds(1);
+constexpr core::Duration kReuseWithinForUnsafe = std::chrono::seconds(2);
 constexpr core::Duration kStatedLimitMargin = std::chrono::seconds(1);
 
 // A request is refused when its expected start leaves less than this part of
@@ -161,6 +161,21 @@
                                                   this->target_endpoint);
 }
 
+// The oldest connections are closed first: a target counts the idle ones, too.
+void Gate::KeepConnection(std::shared_ptr<http::ClientConnection> connection) {
+  const core::Instant now = std::chrono::steady_clock::now();
+  this->idle.push_back(std::move(connection));
+  while (this->idle.size() > static_cast<std::size_t>(this->slots.slots()) ||
+         !this->idle.front()->is_usable() ||
+         now - this->idle.front()->idle_since() >= kReuseWithin) {
+    this->idle.front()->Abort();
+    this->idle.pop_front();
+    if (this->idle.empty()) {
+      break;
+    }
+  }
+}
+
 void Gate::Run(Ticket ticket) {
   Call& call = this->calls.at(ticket);
   const core::Instant now = std::chrono::steady_clock::now();
@@ -253,7 +268,7 @@
       }
     }
     if (call.connection->is_usable()) {
-      this->idle.push_back(call.connection);
+      this->KeepConnection(call.connection);
     }
   } else {
     const auto& problem = std::get<http::ExchangeProblem>(outcome);
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -40,6 +40,10 @@
 // As often as peers report theirs.
 constexpr core::Duration kOwnOutcomesPeriod = std::chrono::seconds(1);
 
+// One wait for a newer manifest, in tenths of the time in which a withdrawn key
+// must stop working: two waits and their calls fit into it.
+constexpr int kWaitPart = 4;
+
 constexpr std::uint32_t kNeverProven = 0xffffffffU;
 
 constexpr std::uint32_t kTargetTakesWork = 1;
@@ -59,7 +63,8 @@
         log(this->context, this->timers),
         store(this->options.make_store(this->context, this->timers,
                                        this->options.settings)),
-        manifest(this->timers, this->options.dialect, this->store, this->log),
+        manifest(this->timers, this->options.dialect, this->store, this->log,
+                 this->options.settings.bounds.key_withdrawal * kWaitPart / 10),
         mesh(this->context, this->timers, this->log,
              {.settings = this->options.settings,
               .store = this->store,
