--- a/packages/core/include/lycheewell/core/manifest/manifest.h
+++ b/packages/core/include/lycheewell/core/manifest/manifest.h
@@ -25,11 +25,11 @@
   std::string host;
   std::string path_prefix;  // begins and ends with a slash
   bool is_idempotent = false;
-  bool is_open = false;      // served without a client account's key
-  Duration timeout{};        // zero: none
-  Duration latency_target{}; // zero: none
-  int priority = 0;          // 0 is the most important
-  int most_attempts = 1;     // targets that one request may be sent to
+  bool is_open = false;       // served without a client account's key
+  Duration timeout{};         // zero: none
+  Duration latency_target{};  // zero: none
+  int priority = 0;           // 0 is the most important
+  int most_attempts = 1;      // targets that one request may be sent to
   std::vector<Destination> destinations;
 
   bool operator==(const Route&) const = default;
--- a/packages/core/include/lycheewell/core/rate/fleet_tokens.h
+++ b/packages/core/include/lycheewell/core/rate/fleet_tokens.h
@@ -59,7 +59,8 @@
   // The keeper granted `granted` of the tokens asked for.
   void Receive(int granted, int asked, Instant now);
 
-  // Takes a token, though Receive gave none, of the part that this daemon may spend on its own.
+  // Takes a token, though Receive gave none, of the part that this daemon may
+  // spend on its own.
   bool TakeOwnPart(const AccountRate& rate, std::size_t daemons, Instant now);
 
   // Queries.
--- a/packages/core/include/lycheewell/core/routing/target_selector.h
+++ b/packages/core/include/lycheewell/core/routing/target_selector.h
@@ -82,7 +82,7 @@
     TargetLoad load;
     Instant reported_at;
     bool is_reachable = true;
-    int outstanding = 0;      // sent from here, not yet answered
+    int outstanding = 0;  // sent from here, not yet answered
     int sent_since_report = 0;
     Instant refused_at;
     Duration refused_wait{};
--- a/packages/core/src/overload/slot_gate.cpp
+++ b/packages/core/src/overload/slot_gate.cpp
@@ -27,10 +27,11 @@
     }
     turns += static_cast<double>(line.size());
   }
-  const bool is_last = this->lines.empty() || rank >= this->lines.rbegin()->first;
+  const bool is_last =
+      this->lines.empty() || rank >= this->lines.rbegin()->first;
   if (is_last) {
-    turns = std::min(turns,
-                     static_cast<double>((ahead_in_rank + 1) * kFairTurn));
+    turns =
+        std::min(turns, static_cast<double>((ahead_in_rank + 1) * kFairTurn));
   }
   turns += static_cast<double>(std::max(0, this->busy - this->most));
   return Duration(static_cast<Duration::rep>(turns * this->WorkPerTurn()));
--- a/packages/core/src/rate/fleet_tokens.cpp
+++ b/packages/core/src/rate/fleet_tokens.cpp
@@ -31,7 +31,8 @@
       filled_at(now) {}
 
 int PlainBucket::Take(int amount, const AccountRate& rate, Instant now) {
-  this->level += rate.per_second * std::max(0.0, Seconds(now - this->filled_at));
+  this->level +=
+      rate.per_second * std::max(0.0, Seconds(now - this->filled_at));
   this->level = std::min(this->level, std::max(1.0, rate.burst));
   this->filled_at = now;
   const int taken =
--- a/packages/core/src/retry/window_budget.cpp
+++ b/packages/core/src/retry/window_budget.cpp
@@ -33,8 +33,8 @@
     requests += slice.requests;
     repeats += slice.repeats;
   }
-  const double base =
-      this->options.base / static_cast<double>(std::max<std::size_t>(1, daemons));
+  const double base = this->options.base /
+                      static_cast<double>(std::max<std::size_t>(1, daemons));
   if (repeats + 1 > this->options.ratio * requests + base) {
     return false;
   }
--- a/packages/core/src/routing/route_table.cpp
+++ b/packages/core/src/routing/route_table.cpp
@@ -92,9 +92,9 @@
     this->credit.assign(destinations.size(), 0);
     std::int64_t rest = 0;
     for (std::size_t i = 0; i + 1 < this->credit.size() && total > 0; ++i) {
-      this->credit[i] =
-          static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(total)) -
-          total / 2;
+      this->credit[i] = static_cast<std::int64_t>(
+                            random() % static_cast<std::uint64_t>(total)) -
+                        total / 2;
       rest -= this->credit[i];
     }
     this->credit.back() = rest;
--- a/packages/core/src/routing/target_selector.cpp
+++ b/packages/core/src/routing/target_selector.cpp
@@ -162,11 +162,11 @@
   if (members == this->by_service.end()) {
     return 0;
   }
-  return static_cast<std::size_t>(std::count_if(
-      members->second.begin(), members->second.end(),
-      [this](const std::string& member) {
-        return this->entries.at(member).target.accepts_work;
-      }));
+  return static_cast<std::size_t>(
+      std::count_if(members->second.begin(), members->second.end(),
+                    [this](const std::string& member) {
+                      return this->entries.at(member).target.accepts_work;
+                    }));
 }
 
 }  // namespace lycheewell::core::routing
--- a/packages/daemon/include/lycheewell/daemon/operators/commands/plan_and_confirm.h
+++ b/packages/daemon/include/lycheewell/daemon/operators/commands/plan_and_confirm.h
@@ -12,7 +12,7 @@
 // {"account", "id"}, "undo_to": offset}, each optional. Changes nothing. A new
 // key is made here and shown in this answer only.
 io::http::Response MakePlan(OperatorsContext& context,
-                                  const OperatorRequest& request);
+                            const OperatorRequest& request);
 
 // POST /v1/confirm with {"command_id", "reason", "accept_disruption",
 // "changes"}. Appends the change, waits until it is folded here and, for a
--- a/packages/daemon/include/lycheewell/daemon/operators/operators_context.h
+++ b/packages/daemon/include/lycheewell/daemon/operators/operators_context.h
@@ -29,9 +29,8 @@
 };
 
 // {"error": kind, "problems": [...]}.
-io::http::Response MakeError(io::http::Status status,
-                                   const std::string& kind,
-                                   const std::vector<std::string>& problems);
+io::http::Response MakeError(io::http::Status status, const std::string& kind,
+                             const std::vector<std::string>& problems);
 
 // How far the live daemons have followed the log.
 struct Spread {
--- a/packages/daemon/include/lycheewell/daemon/operators/operators_port.h
+++ b/packages/daemon/include/lycheewell/daemon/operators/operators_port.h
@@ -21,12 +21,10 @@
   OperatorsPort(OperatorsContext context, FaultTable& faults);
 
   boost::asio::awaitable<std::optional<io::http::Response>> Handle(
-      io::http::Request request,
-      io::async::CancellationPointer cancellation);
+      io::http::Request request, io::async::CancellationPointer cancellation);
 
  private:
-  std::optional<std::string> Authenticate(
-      const io::http::Request& request);
+  std::optional<std::string> Authenticate(const io::http::Request& request);
   io::http::Response SetFaults(const std::string& body);
 
   OperatorsContext context;
--- a/packages/daemon/include/lycheewell/daemon/operators/queries/reports.h
+++ b/packages/daemon/include/lycheewell/daemon/operators/queries/reports.h
@@ -11,16 +11,16 @@
 
 // GET /v1/history?limit=N
 io::http::Response ReportHistory(OperatorsContext& context,
-                                       const OperatorRequest& request);
+                                 const OperatorRequest& request);
 
 // GET /v1/events?limit=N
 io::http::Response ReportEvents(OperatorsContext& context,
-                                      const OperatorRequest& request);
+                                const OperatorRequest& request);
 
 // GET /v1/explain?account=NAME, ?target=DAEMON, ?key=ID, or ?method=&path= for
 // a request to "/service/path".
 io::http::Response Explain(OperatorsContext& context,
-                                 const OperatorRequest& request);
+                           const OperatorRequest& request);
 
 }  // namespace lycheewell::daemon::operators::queries
 
--- a/packages/daemon/include/lycheewell/daemon/requests/call.h
+++ b/packages/daemon/include/lycheewell/daemon/requests/call.h
@@ -78,7 +78,7 @@
 
 // The answer for the caller: the target's own, or problem details.
 io::http::Response ToResponse(const CallResult& result,
-                                    const std::string& request_id);
+                              const std::string& request_id);
 
 peers::Forward ToForward(const Call& call, core::Instant now);
 Call FromForward(const peers::Forward& forward, core::Instant now);
--- a/packages/daemon/include/lycheewell/daemon/requests/dispatcher.h
+++ b/packages/daemon/include/lycheewell/daemon/requests/dispatcher.h
@@ -129,7 +129,7 @@
   void ConfirmCrash(State& state);
   int LevelFor(State& state, const std::string& route_key, core::Instant now);
   io::http::Request MakeRequest(const Call& call,
-                                      const std::string& handle) const;
+                                const std::string& handle) const;
 
   Services& services;
   Hooks hooks;
--- a/packages/daemon/include/lycheewell/daemon/requests/ingress.h
+++ b/packages/daemon/include/lycheewell/daemon/requests/ingress.h
@@ -34,14 +34,12 @@
 
   // Serves one request of a caller.
   boost::asio::awaitable<std::optional<io::http::Response>> HandleCaller(
-      io::http::Request request,
-      io::async::CancellationPointer cancellation);
+      io::http::Request request, io::async::CancellationPointer cancellation);
 
   // Serves one request of the target beside this daemon: an announcement, or a
   // call to another service on behalf of a request that runs there.
   boost::asio::awaitable<std::optional<io::http::Response>> HandleLocal(
-      io::http::Request request,
-      io::async::CancellationPointer cancellation);
+      io::http::Request request, io::async::CancellationPointer cancellation);
 
   // Requests that are being served now.
   int InFlight() const { return this->in_flight; }
@@ -60,14 +58,11 @@
                                const std::string& account);
   boost::asio::awaitable<CallResult> ServeCaller(
       const io::http::Request& request,
-      io::async::CancellationPointer cancellation,
-      std::string& request_id);
+      io::async::CancellationPointer cancellation, std::string& request_id);
   boost::asio::awaitable<CallResult> ServeLocalCall(
       const io::http::Request& request,
-      io::async::CancellationPointer cancellation,
-      std::string& request_id);
-  io::http::Response HandleAnnouncement(
-      const io::http::Request& request);
+      io::async::CancellationPointer cancellation, std::string& request_id);
+  io::http::Response HandleAnnouncement(const io::http::Request& request);
   core::Duration TimeoutOf(const io::http::Request& request) const;
   void CountResult(const CallResult& result);
 
--- a/packages/daemon/include/lycheewell/daemon/services.h
+++ b/packages/daemon/include/lycheewell/daemon/services.h
@@ -10,9 +10,9 @@
 #include "lycheewell/daemon/metrics/metrics.h"
 #include "lycheewell/daemon/settings/settings.h"
 #include "lycheewell/daemon/tables/tables.h"
-#include "lycheewell/peers/transport.h"
 #include "lycheewell/io/http/client.h"
 #include "lycheewell/io/log/log_service.h"
+#include "lycheewell/peers/transport.h"
 
 namespace lycheewell::daemon {
 
--- a/packages/daemon/src/requests/ingress.cpp
+++ b/packages/daemon/src/requests/ingress.cpp
@@ -118,8 +118,7 @@
 }
 
 asio::awaitable<CallResult> Ingress::ServeCaller(
-    const http::Request& request,
-    io::async::CancellationPointer cancellation,
+    const http::Request& request, io::async::CancellationPointer cancellation,
     std::string& request_id) {
   if (!this->hooks.is_ready()) {
     co_return NotRun(kUnavailable, "this daemon has no configuration yet");
@@ -269,8 +268,7 @@
 }
 
 asio::awaitable<CallResult> Ingress::ServeLocalCall(
-    const http::Request& request,
-    io::async::CancellationPointer cancellation,
+    const http::Request& request, io::async::CancellationPointer cancellation,
     std::string& request_id) {
   const std::string target(http::View(request.target()));
   const std::string service(ServiceOf(target));
--- a/packages/sidecar/include/lycheewell/sidecar/http/client_connection.h
+++ b/packages/sidecar/include/lycheewell/sidecar/http/client_connection.h
@@ -68,8 +68,8 @@
   }
 
  private:
-  using Parser = boost::beast::http::response_parser<
-      boost::beast::http::string_body>;
+  using Parser =
+      boost::beast::http::response_parser<boost::beast::http::string_body>;
 
   void Connect();
   void Write();
--- a/packages/sidecar/include/lycheewell/sidecar/links/mesh.h
+++ b/packages/sidecar/include/lycheewell/sidecar/links/mesh.h
@@ -83,7 +83,7 @@
   struct Peer {
     mesh::Member member;
     LinkPointer dialled;
-    bool greeted = false;    // its Hello has come on the dialled link
+    bool greeted = false;  // its Hello has come on the dialled link
     bool reachable = false;
     core::Instant last_seen;
     core::Instant pinged_at;
--- a/packages/sidecar/include/lycheewell/sidecar/requests/accounts.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/accounts.h
@@ -22,7 +22,8 @@
 class Accounts {
  public:
   // Whether the request may go on; otherwise when to come back.
-  using Callback = std::function<void(bool allowed, core::Duration retry_after)>;
+  using Callback =
+      std::function<void(bool allowed, core::Duration retry_after)>;
 
   Accounts(TimerQueue& timers, links::Mesh& mesh);
 
--- a/packages/sidecar/include/lycheewell/sidecar/requests/front.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/front.h
@@ -66,7 +66,8 @@
 
   void Admit(const PendingPointer& pending);
   void Dispatch(const PendingPointer& pending);
-  void SendTo(const PendingPointer& pending, const core::routing::Choice& choice);
+  void SendTo(const PendingPointer& pending,
+              const core::routing::Choice& choice);
   void OnOutcome(const PendingPointer& pending, GateReply reply);
   void OnNotRun(const PendingPointer& pending, const GateReply& reply);
   void OnTimeout(const PendingPointer& pending);
--- a/packages/sidecar/include/lycheewell/sidecar/requests/gate.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/gate.h
@@ -96,9 +96,7 @@
   mesh::Target DescribeTarget() const;
   mesh::Load DescribeLoad() const;
   // Starts of targets that leave or have left, as "instance@born".
-  const std::set<std::string>& retired_starts() const {
-    return this->retired;
-  }
+  const std::set<std::string>& retired_starts() const { return this->retired; }
   std::size_t running() const { return this->running_calls; }
   bool accepts_work() const;
   // Routes whose runs ended here lately.
@@ -108,6 +106,7 @@
   struct RouteRecord {
     core::overload::RouteOutcomes outcomes;
     core::Instant touched_at;
+    core::Duration mean_work{};
   };
 
   struct Call {
@@ -120,6 +119,8 @@
     bool is_abandoned = false;
   };
 
+  core::Duration WorkOf(const std::string& route) const;
+  void RecordRun(const Call& call, GateReply& reply, core::Instant now);
   void Run(Ticket ticket);
   void Finish(Ticket ticket, http::ExchangeOutcome outcome);
   void Reply(Ticket ticket, GateReply reply);
--- a/packages/sidecar/src/decision_log.cpp
+++ b/packages/sidecar/src/decision_log.cpp
@@ -49,8 +49,8 @@
   // Returns whether something is left to write.
   bool Flush() {
     while (!this->buffered.empty()) {
-      const ssize_t written = ::write(STDOUT_FILENO, this->buffered.data(),
-                                      this->buffered.size());
+      const ssize_t written =
+          ::write(STDOUT_FILENO, this->buffered.data(), this->buffered.size());
       if (written <= 0) {
         return true;
       }
--- a/packages/sidecar/src/http/client_connection.cpp
+++ b/packages/sidecar/src/http/client_connection.cpp
@@ -43,8 +43,8 @@
     : socket(context), endpoint(std::move(new_endpoint)) {}
 
 bool ClientConnection::is_usable() const {
-  return this->connected && !this->closed && !this->current &&
-         !this->writing && !this->must_close && this->buffer.size() == 0;
+  return this->connected && !this->closed && !this->current && !this->writing &&
+         !this->must_close && this->buffer.size() == 0;
 }
 
 void ClientConnection::Start(Exchange exchange) {
@@ -90,16 +90,15 @@
 void ClientConnection::Write() {
   this->writing = true;
   this->sent_any = true;
-  asio::async_write(
-      this->socket, asio::buffer(*this->outgoing),
-      [self = this->shared_from_this(), message = this->outgoing](
-          const boost::system::error_code& error, std::size_t) {
-        self->writing = false;
-        if (error && !self->closed) {
-          // The answer may still arrive before the close does.
-          self->must_close = true;
-        }
-      });
+  asio::async_write(this->socket, asio::buffer(*this->outgoing),
+                    [self = this->shared_from_this(), message = this->outgoing](
+                        const boost::system::error_code& error, std::size_t) {
+                      self->writing = false;
+                      if (error && !self->closed) {
+                        // The answer may still arrive before the close does.
+                        self->must_close = true;
+                      }
+                    });
 }
 
 void ClientConnection::Read() {
--- a/packages/sidecar/src/http/server.cpp
+++ b/packages/sidecar/src/http/server.cpp
@@ -37,8 +37,8 @@
 constexpr auto kBodyTimeout = std::chrono::seconds(30);
 
 std::string StatusLine(unsigned status) {
-  const auto reason = beast::http::obsolete_reason(
-      beast::http::int_to_status(status));
+  const auto reason =
+      beast::http::obsolete_reason(beast::http::int_to_status(status));
   return "HTTP/1.1 " + std::to_string(status) + " " +
          std::string(reason.data(), reason.size()) + "\r\n";
 }
@@ -85,15 +85,16 @@
   void Send(const Answer& answer) {
     constexpr unsigned kNoContent = 204;
     constexpr unsigned kNotModified = 304;
-    const bool is_head = this->exchange &&
-                         this->exchange->message.method() == io::http::Verb::head;
-    this->closes_after = this->closes_after || answer.closes ||
-                         this->server.draining;
+    const bool is_head = this->exchange && this->exchange->message.method() ==
+                                               io::http::Verb::head;
+    this->closes_after =
+        this->closes_after || answer.closes || this->server.draining;
     this->exchange.reset();
     auto message = std::make_shared<std::string>(StatusLine(answer.status));
     *message += answer.header_lines;
     if (answer.status != kNoContent && answer.status != kNotModified) {
-      *message += "Content-Length: " + std::to_string(answer.body.size()) + "\r\n";
+      *message +=
+          "Content-Length: " + std::to_string(answer.body.size()) + "\r\n";
     }
     *message += this->closes_after ? "Connection: close\r\n\r\n" : "\r\n";
     if (!is_head) {
@@ -101,17 +102,15 @@
     }
     this->writing = true;
     this->Await(kWriteTimeout);
-    asio::async_write(
-        this->socket, asio::buffer(*message),
-        [self = this->shared_from_this(), message](
-            const boost::system::error_code& error, std::size_t) {
-          self->AfterWrite(error);
-        });
+    asio::async_write(this->socket, asio::buffer(*message),
+                      [self = this->shared_from_this(), message](
+                          const boost::system::error_code& error, std::size_t) {
+                        self->AfterWrite(error);
+                      });
   }
 
  private:
-  using Parser =
-      beast::http::request_parser<beast::http::string_body>;
+  using Parser = beast::http::request_parser<beast::http::string_body>;
 
   ServerLimits Limits() const { return this->server.options.limits(); }
 
@@ -234,8 +233,8 @@
     }
     this->server.timers.Cancel(this->timer);
     this->closes_after = !this->parser->keep_alive();
-    this->exchange = std::make_shared<ServerExchange>(
-        this->weak_from_this(), this->parser->release());
+    this->exchange = std::make_shared<ServerExchange>(this->weak_from_this(),
+                                                      this->parser->release());
     this->parser.reset();
     this->server.options.handler(this->exchange);
   }
@@ -300,22 +299,22 @@
 void Server::Start() { this->Accept(); }
 
 void Server::Accept() {
-  this->acceptor.async_accept([this](const boost::system::error_code& error,
-                                     tcp::socket socket) {
-    if (error == asio::error::operation_aborted ||
-        error == asio::error::bad_descriptor) {
-      return;
-    }
-    if (error) {
-      this->timers.After(kAcceptPause, [this] { this->Accept(); });
-      return;
-    }
-    const auto connection =
-        std::make_shared<ServerConnection>(*this, std::move(socket));
-    this->connections.insert(connection);
-    connection->Start();
-    this->Accept();
-  });
+  this->acceptor.async_accept(
+      [this](const boost::system::error_code& error, tcp::socket socket) {
+        if (error == asio::error::operation_aborted ||
+            error == asio::error::bad_descriptor) {
+          return;
+        }
+        if (error) {
+          this->timers.After(kAcceptPause, [this] { this->Accept(); });
+          return;
+        }
+        const auto connection =
+            std::make_shared<ServerConnection>(*this, std::move(socket));
+        this->connections.insert(connection);
+        connection->Start();
+        this->Accept();
+      });
 }
 
 void Server::Close() {
--- a/packages/sidecar/src/links/mesh.cpp
+++ b/packages/sidecar/src/links/mesh.cpp
@@ -81,16 +81,15 @@
     }
     const auto link = std::make_shared<Link>(
         std::move(socket),
-        Link::Hooks{
-            .on_frame =
-                [this](const LinkPointer& source, mesh::Frame& frame) {
-                  this->OnFrame(source, frame, false);
-                },
-            .on_closed =
-                [this](const LinkPointer& source, const std::string&) {
-                  this->accepted.erase(source);
-                  this->options.hooks.on_caller_lost(source);
-                }});
+        Link::Hooks{.on_frame =
+                        [this](const LinkPointer& source, mesh::Frame& frame) {
+                          this->OnFrame(source, frame, false);
+                        },
+                    .on_closed =
+                        [this](const LinkPointer& source, const std::string&) {
+                          this->accepted.erase(source);
+                          this->options.hooks.on_caller_lost(source);
+                        }});
     this->accepted.insert(link);
     link->Start();
     this->Greet(link);
@@ -272,10 +271,9 @@
     return;
   }
   Peer& peer = found->second;
-  peer.redial_pause =
-      soon ? kFirstRedialPause
-           : std::clamp(peer.redial_pause * 2, kFirstRedialPause,
-                        kLongestRedialPause);
+  peer.redial_pause = soon ? kFirstRedialPause
+                           : std::clamp(peer.redial_pause * 2,
+                                        kFirstRedialPause, kLongestRedialPause);
   this->timers.Cancel(peer.redial);
   peer.redial =
       this->timers.After(peer.redial_pause, [this, name] { this->Dial(name); });
--- a/packages/sidecar/src/manifest/manifest_keeper.cpp
+++ b/packages/sidecar/src/manifest/manifest_keeper.cpp
@@ -11,7 +11,6 @@
 // must be in force everywhere.
 constexpr core::Duration kRetryPause = std::chrono::milliseconds(200);
 
-
 }  // namespace
 
 core::Duration TimeSinceBoot() {
@@ -41,10 +40,10 @@
 }
 
 void ManifestKeeper::AwaitNewer() {
-  this->store.await_manifest(
-      this->end, this->wait, [this, sent_at = TimeSinceBoot()](auto result) {
-        this->Handle(std::move(result), sent_at);
-      });
+  this->store.await_manifest(this->end, this->wait,
+                             [this, sent_at = TimeSinceBoot()](auto result) {
+                               this->Handle(std::move(result), sent_at);
+                             });
 }
 
 void ManifestKeeper::RetryLater() {
--- a/packages/sidecar/src/requests/accounts.cpp
+++ b/packages/sidecar/src/requests/accounts.cpp
@@ -29,9 +29,8 @@
 
 Accounts::Holding& Accounts::HoldingOf(const std::string& account) {
   return this->holdings
-      .try_emplace(account,
-                   Holding{.holder = core::rate::TokenHolder(
-                               std::chrono::steady_clock::now())})
+      .try_emplace(account, Holding{.holder = core::rate::TokenHolder(
+                                        std::chrono::steady_clock::now())})
       .first->second;
 }
 
@@ -62,11 +61,10 @@
   }
   const std::string keeper_name = this->KeeperOf(account.name);
   if (keeper_name == this->mesh.self_name()) {
-    const int granted =
-        this->keeper.Grant(account.name, kOne, holding.rate,
-                           this->mesh.reachable_part(), now);
-    done(granted > 0, granted > 0 ? core::Duration::zero()
-                                  : this->RetryAfter(holding));
+    const int granted = this->keeper.Grant(account.name, kOne, holding.rate,
+                                           this->mesh.reachable_part(), now);
+    done(granted > 0,
+         granted > 0 ? core::Duration::zero() : this->RetryAfter(holding));
     return;
   }
   if (holding.holder.IsExhausted(now)) {
@@ -78,8 +76,8 @@
 }
 
 core::Duration Accounts::RetryAfter(const Holding& holding) const {
-  const auto period = std::chrono::duration_cast<core::Duration>(
-      std::chrono::duration<double>(
+  const auto period =
+      std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(
           1.0 / std::max(0.1, holding.rate.per_second)));
   // All daemons' refused requests share the next tokens.
   return std::clamp<core::Duration>(
@@ -155,8 +153,7 @@
     }
     const Callback done = std::move(waiting.front().done);
     waiting.pop_front();
-    done(allowed,
-         allowed ? core::Duration::zero() : this->RetryAfter(holding));
+    done(allowed, allowed ? core::Duration::zero() : this->RetryAfter(holding));
   }
   Holding& after = this->HoldingOf(ask.account);
   after.waiting.insert(after.waiting.begin(),
@@ -178,9 +175,9 @@
   std::deque<Waiting> waiting;
   std::swap(waiting, holding.waiting);
   for (Waiting& entry : waiting) {
-    const bool allowed = holding.holder.TakeOwnPart(
-        holding.rate, this->mesh.daemon_count(),
-        std::chrono::steady_clock::now());
+    const bool allowed =
+        holding.holder.TakeOwnPart(holding.rate, this->mesh.daemon_count(),
+                                   std::chrono::steady_clock::now());
     entry.done(allowed,
                allowed ? core::Duration::zero() : this->RetryAfter(holding));
   }
--- a/packages/sidecar/src/requests/front.cpp
+++ b/packages/sidecar/src/requests/front.cpp
@@ -142,7 +142,8 @@
   pending->deadline = pending->arrived_at + limit;
   pending->wanted_by =
       route.latency_target > core::Duration::zero()
-          ? std::min(pending->deadline, pending->arrived_at + route.latency_target)
+          ? std::min(pending->deadline,
+                     pending->arrived_at + route.latency_target)
           : pending->deadline;
   this->Admit(pending);
 }
@@ -163,8 +164,8 @@
       return;
     }
     const auto age = this->options.manifest.proof_age();
-    if (!age || *age > this->options.settings.bounds.key_withdrawal -
-                           kProofMargin) {
+    if (!age ||
+        *age > this->options.settings.bounds.key_withdrawal - kProofMargin) {
       this->log.Write(Event::kProofExpired,
                       {{"request", pending->request.id},
                        {"age_ms", age ? Text(*age) : "never"}});
@@ -237,8 +238,7 @@
     return;
   }
   if (now + choice->expected_wait > pending->wanted_by) {
-    this->Refuse(pending, 503, kNoSlotExpected,
-                 choice->expected_wait);
+    this->Refuse(pending, 503, kNoSlotExpected, choice->expected_wait);
     return;
   }
   this->SendTo(pending, *choice);
@@ -326,15 +326,15 @@
   } else if (reply.outcome() == mesh::NOT_RUN) {
     outcome = Outcome::kNotRun;
   }
-  this->OnOutcome(pending,
-                  {.outcome = outcome,
-                   .status = reply.status(),
-                   .header_lines = std::move(*reply.mutable_header_lines()),
-                   .body = std::move(*reply.mutable_body()),
-                   .reason = reply.reason(),
-                   .retry_after =
-                       std::chrono::milliseconds(reply.retry_after_ms()),
-                   .is_starved = reply.is_starved()});
+  this->OnOutcome(
+      pending,
+      {.outcome = outcome,
+       .status = reply.status(),
+       .header_lines = std::move(*reply.mutable_header_lines()),
+       .body = std::move(*reply.mutable_body()),
+       .reason = reply.reason(),
+       .retry_after = std::chrono::milliseconds(reply.retry_after_ms()),
+       .is_starved = reply.is_starved()});
 }
 
 void Front::OnLost(const std::string& member) {
@@ -412,15 +412,13 @@
   const bool may_go_elsewhere =
       pending->refusals < kMostRefusals &&
       pending->deadline - now > kLeastTimeLeft &&
-      (!reached_target ||
-       (pending->sends < pending->route->most_attempts &&
-        this->BudgetOf(pending->service)
-            .Spend(this->options.mesh.daemon_count(), now)));
-  const auto choice =
-      may_go_elsewhere
-          ? this->targets.Choose(pending->service, pending->excluded, now,
-                                 this->random)
-          : std::nullopt;
+      (!reached_target || (pending->sends < pending->route->most_attempts &&
+                           this->BudgetOf(pending->service)
+                               .Spend(this->options.mesh.daemon_count(), now)));
+  const auto choice = may_go_elsewhere ? this->targets.Choose(pending->service,
+                                                              pending->excluded,
+                                                              now, this->random)
+                                       : std::nullopt;
   if (!choice || now + choice->expected_wait > pending->wanted_by) {
     this->Refuse(pending, 503, reply.reason, reply.retry_after);
     return;
--- a/packages/sidecar/src/requests/gate.cpp
+++ b/packages/sidecar/src/requests/gate.cpp
@@ -34,13 +34,15 @@
 // Other daemons' targets can take the request at once.
 constexpr core::Duration kElsewhere = std::chrono::milliseconds(0);
 
+// About this many of a route's last runs make its mean work.
+constexpr int kRouteWorkRuns = 20;
+
 // Routes without an ended run for this long are not reported.
 constexpr core::Duration kOutcomesReportedFor = std::chrono::seconds(5);
 
 // Instances remembered as retired.
 constexpr std::size_t kMostRetired = 64;
 
-
 std::string_view StateName(TargetState state) {
   switch (state) {
     case TargetState::kTakesWork:
@@ -110,7 +112,8 @@
     return ticket;
   }
   const auto work = core::Duration(static_cast<core::Duration::rep>(
-      kWorkMargin * static_cast<double>(this->slots.mean_work().count())));
+      kWorkMargin *
+      static_cast<double>(this->WorkOf(entry.request.route).count())));
   const core::Instant latest_start = std::min(
       entry.request.wanted_by - work, entry.request.deadline - work / 2);
   const auto verdict = this->slots.Offer({.ticket = ticket,
@@ -221,9 +224,35 @@
             id = call.request.request_id](const io::http::Response& response) {
              return dialect.is_answer_to(response, id);
            },
-       .done = [this, ticket](http::ExchangeOutcome outcome) {
-         this->Finish(ticket, std::move(outcome));
-       }});
+       .done =
+           [this, ticket](http::ExchangeOutcome outcome) {
+             this->Finish(ticket, std::move(outcome));
+           }});
+}
+
+// A service's kinds of requests differ many times in their work, so that the
+// mean over all of them says little about one.
+core::Duration Gate::WorkOf(const std::string& route) const {
+  const auto found = this->outcomes.find(route);
+  return found == this->outcomes.end() ? core::Duration::zero()
+                                       : found->second.mean_work;
+}
+
+void Gate::RecordRun(const Call& call, GateReply& reply, core::Instant now) {
+  constexpr unsigned kFirstFailure = 500;
+  RouteRecord& record = this->outcomes[call.request.route];
+  record.touched_at = now;
+  ++record.outcomes.ended;
+  if (reply.status < kFirstFailure) {
+    const core::Duration work = now - call.started_at;
+    record.mean_work = record.mean_work == core::Duration::zero()
+                           ? work
+                           : record.mean_work +
+                                 (work - record.mean_work) / kRouteWorkRuns;
+  } else if (this->options.last_starved_call() >= call.started_at) {
+    ++record.outcomes.starved;
+    reply.is_starved = true;
+  }
 }
 
 void Gate::Finish(Ticket ticket, http::ExchangeOutcome outcome) {
@@ -241,8 +270,8 @@
   if (auto* response = std::get_if<io::http::Response>(&outcome)) {
     TargetAnswer answer = this->options.dialect.decode_answer(*response);
     if (answer.has_not_run) {
-      reply.reason = answer.is_wrong_instance ? "target was replaced"
-                                              : "target refused";
+      reply.reason =
+          answer.is_wrong_instance ? "target was replaced" : "target refused";
       reply.retry_after = kLeastRetryAfter;
       if (answer.is_wrong_instance &&
           call.request.instance == this->target.instance) {
@@ -257,15 +286,7 @@
                         .header_lines = std::move(answer.header_lines),
                         .body = std::move(response->body())};
       is_sample = true;
-      constexpr unsigned kFirstFailure = 500;
-      RouteRecord& record = this->outcomes[call.request.route];
-      record.touched_at = now;
-      ++record.outcomes.ended;
-      if (reply.status >= kFirstFailure &&
-          this->options.last_starved_call() >= call.started_at) {
-        ++record.outcomes.starved;
-        reply.is_starved = true;
-      }
+      this->RecordRun(call, reply, now);
     }
     if (call.connection->is_usable()) {
       this->KeepConnection(call.connection);
@@ -434,9 +455,9 @@
     return;
   }
   if (announcement.service != this->options.settings.target_service) {
-    this->log.Write(Event::kAnnouncementRejected,
-                    {{"instance", announcement.instance},
-                     {"reason", "another service"}});
+    this->log.Write(
+        Event::kAnnouncementRejected,
+        {{"instance", announcement.instance}, {"reason", "another service"}});
     return;
   }
   const std::string start = StartName(announcement);
--- a/packages/sidecar/src/settings.cpp
+++ b/packages/sidecar/src/settings.cpp
@@ -70,8 +70,8 @@
       this->Report(path, "is not a time such as \"1500ms\" or \"2.5s\"");
       return fallback;
     }
-    auto parsed = ParseDuration(
-        {value->get_string().data(), value->get_string().size()});
+    auto parsed =
+        ParseDuration({value->get_string().data(), value->get_string().size()});
     if (const auto* problem = std::get_if<std::string>(&parsed)) {
       this->Report(path, *problem);
       return fallback;
@@ -79,8 +79,7 @@
     return std::get<core::Duration>(parsed);
   }
 
-  double Number(std::initializer_list<std::string_view> path,
-                double fallback) {
+  double Number(std::initializer_list<std::string_view> path, double fallback) {
     const json::value* value = this->Find(path);
     if (value == nullptr || value->is_null()) {
       return fallback;
@@ -121,10 +120,8 @@
 
 }  // namespace
 
-std::variant<core::Duration, std::string> ParseDuration(
-    std::string_view text) {
-  const std::string problem =
-      "is not a time such as \"1500ms\" or \"2.5s\"";
+std::variant<core::Duration, std::string> ParseDuration(std::string_view text) {
+  const std::string problem = "is not a time such as \"1500ms\" or \"2.5s\"";
   double factor = 1;
   if (text.ends_with("ms")) {
     text.remove_suffix(2);
@@ -150,8 +147,7 @@
   boost::system::error_code error;
   const json::value value = ParseText(text, error);
   const json::object* root = error ? nullptr : value.if_object();
-  return root != nullptr &&
-         root->contains({kSection.data(), kSection.size()});
+  return root != nullptr && root->contains({kSection.data(), kSection.size()});
 }
 
 std::variant<Settings, Problems> ParseSettings(std::string_view text) {
@@ -182,14 +178,12 @@
       .links_port = reader.Port({"links_port"}),
       .metrics_port = reader.Port({"metrics_port"}),
       .store_address = reader.Address({"store", "address"}),
-      .announcement_period =
-          reader.Time({"target", "announcement_period"},
-                      Settings().announcement_period),
+      .announcement_period = reader.Time({"target", "announcement_period"},
+                                         Settings().announcement_period),
       .bounds = {
-          .key_withdrawal = reader.Time({"bounds", "key_withdrawal"},
-                                        usual.key_withdrawal),
-          .stop_grace =
-              reader.Time({"bounds", "stop_grace"}, usual.stop_grace),
+          .key_withdrawal =
+              reader.Time({"bounds", "key_withdrawal"}, usual.key_withdrawal),
+          .stop_grace = reader.Time({"bounds", "stop_grace"}, usual.stop_grace),
           .repeat_ratio =
               reader.Number({"bounds", "repeat_ratio"}, usual.repeat_ratio),
           .repeat_base =
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -95,11 +95,12 @@
                             [this](const http::ExchangePointer& exchange) {
                               this->OnAnnouncement(exchange);
                             })),
-        readiness(this->context, this->timers,
-                  this->ServerFor(this->options.settings.readiness_address,
-                                  [this](const http::ExchangePointer& exchange) {
-                                    this->OnReadiness(exchange);
-                                  })),
+        readiness(
+            this->context, this->timers,
+            this->ServerFor(this->options.settings.readiness_address,
+                            [this](const http::ExchangePointer& exchange) {
+                              this->OnReadiness(exchange);
+                            })),
         metrics(this->context, this->timers,
                 this->ServerFor(
                     this->options.settings.address + ":" +
@@ -139,9 +140,9 @@
             .on_bad_request =
                 [this](unsigned status, std::string_view reason) {
                   this->counters.Count("bad_requests", std::to_string(status));
-                  this->log.Write(Event::kBadHttpRequest,
-                                  {{"status", std::to_string(status)},
-                                   {"reason", reason}});
+                  this->log.Write(
+                      Event::kBadHttpRequest,
+                      {{"status", std::to_string(status)}, {"reason", reason}});
                 }};
   }
 
@@ -161,10 +162,10 @@
     return {
         .on_frame = [this](const links::LinkPointer& link,
                            mesh::Frame& frame) { this->OnFrame(link, frame); },
-        .on_target = [this](const std::string& member,
-                            const mesh::Target& target) {
-          this->PutTarget(member, target);
-        },
+        .on_target =
+            [this](const std::string& member, const mesh::Target& target) {
+              this->PutTarget(member, target);
+            },
         .on_reachable =
             [this](const std::string& member, bool is_reachable) {
               this->front.selector().SetReachable(member, is_reachable);
@@ -417,9 +418,9 @@
     }
     const auto asked_at = this->mesh.TakePing(link->member, pong.id());
     if (asked_at && pong.proof_age_ms() != kNeverProven) {
-      this->manifest.LearnProof(
-          pong.manifest_version(),
-          std::chrono::milliseconds(pong.proof_age_ms()), *asked_at);
+      this->manifest.LearnProof(pong.manifest_version(),
+                                std::chrono::milliseconds(pong.proof_age_ms()),
+                                *asked_at);
     }
   }
 
@@ -452,11 +453,10 @@
     const bool ready = this->is_ready();
     if (ready != this->was_ready) {
       this->was_ready = ready;
-      this->log.Write(
-          Event::kReady,
-          {{"ready", ready ? "yes" : "no"},
-           {"manifest", std::to_string(this->manifest.version())},
-           {"daemons", std::to_string(this->mesh.daemon_count())}});
+      this->log.Write(Event::kReady,
+                      {{"ready", ready ? "yes" : "no"},
+                       {"manifest", std::to_string(this->manifest.version())},
+                       {"daemons", std::to_string(this->mesh.daemon_count())}});
     }
     exchange->Send({.status = ready ? 200U : 503U});
   }
@@ -466,7 +466,8 @@
     const auto age = this->manifest.proof_age();
     const mesh::Load load = this->gate.DescribeLoad();
     text << this->counters.Render() << "lycheewell_manifest_version "
-         << this->manifest.version() << "\nlycheewell_manifest_proof_age_seconds "
+         << this->manifest.version()
+         << "\nlycheewell_manifest_proof_age_seconds "
          << (age ? Milliseconds(*age) / 1000.0 : -1)
          << "\nlycheewell_store_reachable "
          << (this->manifest.is_store_reachable() ? 1 : 0)
@@ -541,9 +542,9 @@
       this->mesh.SayLeaving();
     });
     const core::Instant now = std::chrono::steady_clock::now();
-    this->CheckStopped(now + kServeAfterStop,
-                       now + this->options.settings.bounds.stop_grace -
-                           kEndBeforeGrace);
+    this->CheckStopped(
+        now + kServeAfterStop,
+        now + this->options.settings.bounds.stop_grace - kEndBeforeGrace);
   }
 
   void CheckStopped(core::Instant serve_until, core::Instant end) {
@@ -551,10 +552,9 @@
     if (now >= serve_until) {
       this->clients.Close();
     }
-    const bool is_done = now >= serve_until &&
-                         this->front.open_requests() == 0 &&
-                         this->gate.running() == 0 &&
-                         this->clients.connection_count() == 0;
+    const bool is_done =
+        now >= serve_until && this->front.open_requests() == 0 &&
+        this->gate.running() == 0 && this->clients.connection_count() == 0;
     if (is_done || now >= end) {
       this->context.stop();
       return;
--- /dev/null
+++ b/tests/platform/adapter_test.cpp
@@ -0,0 +1,239 @@
+#include "lycheewell/platform/adapter.h"
+
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+#include <regex>
+#include <sstream>
+
+namespace {
+using namespace lycheewell;
+using io::http::Request;
+using io::http::Response;
+using std::chrono::milliseconds;
+
+const std::string kSource = LYCHEEWELL_SOURCE_DIR;
+
+std::string ReadFile(const std::filesystem::path& path) {
+  std::ifstream file(path);
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+Request ClientRequest() {
+  Request request(io::http::Verb::post, "/fees/1?x=2", 11);
+  request.set("Host", "a.example");
+  request.set("Request-Id", "9c41");
+  request.set("Deadline-Ms", "5000");
+  request.set("Authorization", "Bearer secret");
+  request.set("Tenant-Id", "forged");
+  request.set("Caller-Service", "forged");
+  request.set("Expected-Instance", "forged");
+  request.set("Connection", "keep-alive, X-Hop");
+  request.set("X-Hop", "1");
+  request.set("X-Trace", "t");
+  return request;
+}
+
+Request Beat(const std::string& body) {
+  Request request(io::http::Verb::post, "/v1/instances/i-1/heartbeat", 11);
+  request.body() = body;
+  return request;
+}
+
+constexpr const char* kManifest =
+    R"({"version":"r7","routes":{"columns":["name","host","pathPrefix","kind",
+"timeout","targetLatency","priority","weightedClusters","attempts","public","service"],"rows":[
+["a","a.example","/x/","safe","1000ms","1.5s",2,[{"service":"s","weight":90},{"service":"t","weight":10}],2,false,null],
+["b","b.example","/y/","unsafe","1200ms","1500ms",0,null,3,true,"u"]]},
+"services":{"columns":["name","healthPath","maxConnections","protocol","tls"],"rows":[["s","/health",406,"h1",false]]},
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeout":"3000ms","idleTimeout":"15000ms"},
+"tenants":{"columns":["name","apiKeys","priority","ratePerS","burst"],"rows":[["club",["k1","k2"],1,63,64]]}})";
+
+}  // namespace
+
+TEST_CASE("A client's request is decoded once", "[platform]") {
+  const auto dialect = platform::MakeDialect();
+
+  SECTION("into what the sidecar decides on") {
+    const auto decoded = std::get<sidecar::ClientRequest>(
+        dialect.decode_request(ClientRequest()));
+    CHECK(decoded.id == "9c41");
+    CHECK(decoded.key == "secret");
+    CHECK(decoded.time_limit == milliseconds(5000));
+    CHECK(decoded.path_and_query == "/fees/1?x=2");
+
+    SECTION("and the target sees neither the key nor what a client forged") {
+      CHECK(decoded.header_lines.find("secret") == std::string::npos);
+      CHECK(decoded.header_lines.find("forged") == std::string::npos);
+      CHECK(decoded.header_lines.find("X-Hop") == std::string::npos);
+      CHECK(decoded.header_lines.find("X-Trace: t\r\n") != std::string::npos);
+      CHECK(decoded.header_lines.find("Request-Id: 9c41\r\n") !=
+            std::string::npos);
+    }
+  }
+  SECTION("or refused, when it has no id or an unreadable limit") {
+    Request no_id = ClientRequest();
+    no_id.erase("Request-Id");
+    CHECK(std::holds_alternative<sidecar::Unusable>(
+        dialect.decode_request(no_id)));
+    Request bad_limit = ClientRequest();
+    bad_limit.set("Deadline-Ms", "5s");
+    CHECK(std::holds_alternative<sidecar::Unusable>(
+        dialect.decode_request(bad_limit)));
+  }
+}
+
+TEST_CASE("A target's answer says whether the request has run", "[platform]") {
+  const auto dialect = platform::MakeDialect();
+  Response response(io::http::Status::service_unavailable, 11);
+
+  SECTION("a status alone says nothing") {
+    CHECK_FALSE(dialect.decode_answer(response).has_not_run);
+  }
+  SECTION("the header does") {
+    response.set("Not-Executed", "1");
+    CHECK(dialect.decode_answer(response).has_not_run);
+  }
+  SECTION("and so does another instance at the address") {
+    response.result(421);
+    CHECK(dialect.decode_answer(response).has_not_run);
+    CHECK(dialect.decode_answer(response).is_wrong_instance);
+  }
+  SECTION("a late answer to another request is told apart by its id") {
+    response.set("Request-Id", "1");
+    CHECK(dialect.is_answer_to(response, "1"));
+    CHECK_FALSE(dialect.is_answer_to(response, "2"));
+  }
+}
+
+TEST_CASE("An announcement is usable only as a whole", "[platform]") {
+  const auto dialect = platform::MakeDialect();
+
+  SECTION("with service, slots, state and sequence") {
+    const auto decoded = std::get<
+        sidecar::Announcement>(dialect.decode_announcement(Beat(
+        R"({"born":17,"info":{"service":"s","slots":51},"status":{"state":"draining","seq":4,"cold_time":"2s"}})")));
+    CHECK(decoded ==
+          sidecar::Announcement{.instance = "i-1",
+                                .state = sidecar::TargetState::kLeaving,
+                                .service = "s",
+                                .slots = 51,
+                                .sequence = 4,
+                                .born_ms = 17,
+                                .cold_for = std::chrono::seconds(2)});
+  }
+  SECTION("not with a field missing, of another type or of an unknown value") {
+    for (
+        const char* body :
+        {"", "{", "[]", "{}", R"({"info":{"service":"s","slots":51}})",
+         R"({"info":{"service":"s","slots":"51"},"status":{"state":"ready","seq":4}})",
+         R"({"info":{"service":"s","slots":0},"status":{"state":"ready","seq":4}})",
+         R"({"info":{"service":"s","slots":-3},"status":{"state":"ready","seq":4}})",
+         R"({"info":{"service":"s","slots":51},"status":{"state":"asleep","seq":4}})",
+         R"({"info":{"service":7,"slots":51},"status":{"state":"ready","seq":4}})"}) {
+      INFO(body);
+      CHECK(std::holds_alternative<sidecar::Unusable>(
+          dialect.decode_announcement(Beat(body))));
+    }
+  }
+  SECTION("and a farewell needs no body") {
+    Request farewell(io::http::Verb::post, "/v1/instances/i-1/deregister", 11);
+    const auto decoded =
+        std::get<sidecar::Announcement>(dialect.decode_announcement(farewell));
+    CHECK(decoded.state == sidecar::TargetState::kGone);
+  }
+}
+
+TEST_CASE("The operator's manifest becomes ours", "[platform]") {
+  const auto dialect = platform::MakeDialect();
+  const auto decoded =
+      std::get<core::manifest::Manifest>(dialect.decode_manifest(kManifest));
+  CHECK(decoded.version == 7);
+  REQUIRE(decoded.routes.size() == 2);
+  CHECK(decoded.routes[0].is_idempotent);
+  CHECK(decoded.routes[0].latency_target == milliseconds(1500));
+  CHECK(decoded.routes[0].destinations.size() == 2);
+  CHECK_FALSE(decoded.routes[1].is_idempotent);
+  CHECK(decoded.routes[1].is_open);
+  CHECK(decoded.routes[1].destinations ==
+        std::vector<core::manifest::Destination>{{"u", 1}});
+  CHECK(decoded.accounts ==
+        std::vector<core::manifest::Account>{{.name = "club",
+                                              .keys = {"k1", "k2"},
+                                              .priority = 1,
+                                              .rate_per_second = 63,
+                                              .burst = 64}});
+  CHECK(decoded.limits.idle_timeout == std::chrono::seconds(15));
+
+  SECTION("and one that is cut or damaged is named unusable") {
+    const std::string whole(kManifest);
+    for (std::size_t length = 0; length < whole.size(); length += 7) {
+      CHECK(std::holds_alternative<sidecar::Unusable>(
+          dialect.decode_manifest(std::string_view(whole).substr(0, length))));
+    }
+  }
+}
+
+TEST_CASE("The platform's names stay in the adapter", "[platform]") {
+  const std::regex names(
+      "Caller-Service|Expected-Instance|Not-Executed|Response-Signature|"
+      "heartbeatAddr|log-append|"
+      "log-newest|log-read|keyed\\.op|weightedClusters|pathPrefix|Deadline-Ms|"
+      "Tenant-Id|apiKeys|"
+      "ratePerS|/v1/");
+  std::vector<std::string> found;
+  for (const auto& entry :
+       std::filesystem::recursive_directory_iterator(kSource + "/packages")) {
+    const auto extension = entry.path().extension();
+    if (extension != ".h" && extension != ".cpp" && extension != ".proto") {
+      continue;
+    }
+    std::smatch match;
+    const std::string text = ReadFile(entry.path());
+    if (std::regex_search(text, match, names)) {
+      found.push_back(entry.path().string() + ": " + match.str());
+    }
+  }
+  CHECK(found.empty());
+}
+
+TEST_CASE("The settings template gives settings that pass", "[platform]") {
+  std::string text = ReadFile(kSource + "/deploy/sidecar.json.in");
+  const std::vector<std::pair<std::string, std::string>> values = {
+      {"node|json", "\"vm-1\""},
+      {"zone|json", "\"kochi-a\""},
+      {"ip|json", "\"10.1.0.26\""},
+      {"listen.outbound|json", "\"10.1.0.26:8548\""},
+      {"listen.control|json", "\"10.1.0.26:8540\""},
+      {"listen.ready|json", "\"10.1.0.26:8546\""},
+      {"appAddr|json", "\"10.1.0.26:8547\""},
+      {"service|json", "\"s\""},
+      {"heartbeat|json", "\"1500ms\""},
+      {"portRange.0", "7000"},
+      {"portRange.1", "7015"},
+      {"provider.address|json", "\"10.200.1.7:8545\""},
+      {"bounds.revoke|json", "\"5000ms\""},
+      {"bounds.grace|json", "\"6s\""},
+      {"bounds.retryBudgetRatio|json", "0.2"},
+      {"bounds.budgetMinRetries|json", "48"},
+      {"bounds.budgetWindow|json", "\"10s\""}};
+  for (const auto& [name, value] : values) {
+    const std::string placeholder = "{{" + name + "}}";
+    const std::size_t at = text.find(placeholder);
+    REQUIRE(at != std::string::npos);
+    text.replace(at, placeholder.size(), value);
+  }
+  CHECK(sidecar::IsSidecarSettings(text));
+  const auto parsed = sidecar::ParseSettings(text);
+  REQUIRE(std::holds_alternative<sidecar::Settings>(parsed));
+  CHECK(std::get<sidecar::Settings>(parsed).links_port == 7000);
+
+  SECTION("and all that is wrong is reported together") {
+    const auto wrong = sidecar::ParseSettings(
+        R"({"sidecar":{"name":7,"links_port":0,"bounds":{"stop_grace":"6"}}})");
+    const auto& problems = std::get<daemon::settings::Problems>(wrong);
+    CHECK(problems.size() >= 10);
+  }
+}
--- /dev/null
+++ b/tests/sidecar/whole_path_test.cpp
@@ -0,0 +1,459 @@
+// Real sidecars on loopback with stand-ins for the platform's store and for
+// targets, as its pages describe them.
+#include <signal.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/core/detail/base64.hpp>
+#include <boost/beast/http.hpp>
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+#include <future>
+#include <map>
+#include <mutex>
+#include <thread>
+
+#include "harness/process.h"
+#include "lycheewell/io/http/server.h"
+
+namespace {
+using namespace lycheewell;
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using io::http::Request;
+using io::http::Response;
+using io::http::Status;
+using io::http::Verb;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int kFirstPort = 21'400;
+
+std::string Local(int port) { return "127.0.0.1:" + std::to_string(port); }
+
+// Serves a handler on a thread of its own.
+class StandIn {
+ public:
+  StandIn(int port, io::http::Handler handler)
+      : server(this->context, {.address = Local(port)}, std::move(handler)) {
+    this->server.Start();
+    this->thread = std::thread([this] { this->context.run(); });
+  }
+  ~StandIn() {
+    this->context.stop();
+    this->thread.join();
+  }
+
+ private:
+  asio::io_context context;
+  io::http::Server server;
+  std::thread thread;
+};
+
+// The store: keyed topics whose reads wait.
+class Store {
+ public:
+  explicit Store(int port)
+      : stand_in(port, [this](Request request, const async_cancellation&) {
+          return this->Answer(std::move(request));
+        }) {}
+
+  void PutManifest(const std::string& document) {
+    this->Append("keyed.op", "config", document);
+  }
+
+  std::atomic<bool> is_down = false;
+
+ private:
+  using async_cancellation = io::async::CancellationPointer;
+
+  struct Topic {
+    std::map<std::string, std::string> newest;
+    std::vector<std::string> records;  // framed
+  };
+
+  static std::string BigEndian(std::uint64_t value, std::size_t size) {
+    std::string bytes(size, '\0');
+    for (std::size_t i = size; i-- > 0; value >>= 8U) {
+      bytes[i] = static_cast<char>(value & 0xffU);
+    }
+    return bytes;
+  }
+
+  void Append(const std::string& topic, const std::string& key,
+              const std::string& value) {
+    const std::lock_guard lock(this->mutex);
+    std::string record(1, static_cast<char>(key.size()));
+    record += key + value;
+    this->topics[topic].newest[key] = value;
+    this->topics[topic].records.push_back(BigEndian(record.size(), 4) + record);
+  }
+
+  asio::awaitable<std::optional<Response>> Answer(Request request) {
+    if (this->is_down) {
+      co_return io::http::MakeResponse(Status::service_unavailable,
+                                       "text/plain", "");
+    }
+    const auto target = io::http::SplitTarget(io::http::View(request.target()));
+    const std::string topic = io::http::QueryValue(target.query, "topic");
+    if (target.path == "/v1/log-append") {
+      const std::string& body = request.body();
+      const auto key_size = static_cast<std::size_t>(body.at(4));
+      this->Append(topic, body.substr(5, key_size), body.substr(5 + key_size));
+      co_return io::http::MakeJson(Status::ok, "{}");
+    }
+    if (target.path == "/v1/log-newest") {
+      co_return io::http::MakeJson(Status::ok, this->Newest(topic));
+    }
+    const auto from = std::stoul(io::http::QueryValue(target.query, "from"));
+    const int wait_ms = std::stoi(io::http::QueryValue(target.query, "waitMs"));
+    for (int waited = 0;; waited += 10) {
+      std::string body = this->Records(topic, from);
+      if (!body.empty() || waited >= wait_ms) {
+        co_return io::http::MakeResponse(
+            Status::ok, "application/octet-stream",
+            BigEndian(from, 8) + BigEndian(0, 8) + body);
+      }
+      asio::steady_timer timer(co_await asio::this_coro::executor,
+                               milliseconds(10));
+      co_await timer.async_wait(asio::use_awaitable);
+    }
+  }
+
+  std::string Newest(const std::string& topic) {
+    namespace base64 = beast::detail::base64;
+    const std::lock_guard lock(this->mutex);
+    std::string items;
+    for (const auto& [key, value] : this->topics[topic].newest) {
+      std::string encoded(base64::encoded_size(value.size()), '\0');
+      encoded.resize(
+          base64::encode(encoded.data(), value.data(), value.size()));
+      items += (items.empty() ? "" : ",");
+      items += R"({"key":")" + key + R"(","value":")" + encoded + R"("})";
+    }
+    return R"({"items":[)" + items + R"(],"hasMore":false,"endOffset":)" +
+           std::to_string(this->topics[topic].records.size()) + "}";
+  }
+
+  std::string Records(const std::string& topic, std::size_t from) {
+    const std::lock_guard lock(this->mutex);
+    std::string body;
+    const auto& records = this->topics[topic].records;
+    for (std::size_t i = from; i < records.size(); ++i) {
+      body += records[i];
+    }
+    return body;
+  }
+
+  std::mutex mutex;
+  std::map<std::string, Topic> topics;
+  StandIn stand_in;
+};
+
+// A target: answers with what a request asks for in its query.
+class Target {
+ public:
+  explicit Target(int port)
+      : stand_in(port, [this](Request request,
+                              const io::async::CancellationPointer&) {
+          return this->Answer(std::move(request));
+        }) {}
+
+  std::atomic<int> runs = 0;
+  std::string last_account;
+  bool saw_key = false;
+
+ private:
+  asio::awaitable<std::optional<Response>> Answer(Request request) {
+    const auto target = io::http::SplitTarget(io::http::View(request.target()));
+    ++this->runs;
+    this->last_account = std::string(io::http::View(request["Tenant-Id"]));
+    this->saw_key =
+        this->saw_key || request.find("Authorization") != request.end();
+    const std::string wait = io::http::QueryValue(target.query, "wait");
+    if (!wait.empty()) {
+      asio::steady_timer timer(co_await asio::this_coro::executor,
+                               milliseconds(std::stoi(wait)));
+      co_await timer.async_wait(asio::use_awaitable);
+    }
+    if (target.query == "break") {
+      co_return std::nullopt;
+    }
+    Response response =
+        io::http::MakeResponse(Status::ok, "text/plain", "done");
+    response.set("Request-Id", request["Request-Id"]);
+    response.set("Response-Signature", "signed");
+    co_return response;
+  }
+
+  StandIn stand_in;
+};
+
+struct Reply {
+  unsigned status = 0;  // 0: no whole answer
+  std::string signature;
+  std::string retry_after;
+  std::string body;
+};
+
+Reply Ask(int port, Verb verb, const std::string& target,
+          const std::string& key, const std::string& body = "") {
+  static std::atomic<int> last_id = 0;
+  asio::io_context context;
+  beast::tcp_stream stream(context);
+  Request request(verb, target, 11);
+  request.set("Host", "a.example");
+  request.set("Request-Id", "r" + std::to_string(++last_id));
+  request.set("Deadline-Ms", "3000");
+  if (!key.empty()) {
+    request.set("Authorization", "Bearer " + key);
+  }
+  request.body() = body;
+  request.prepare_payload();
+  boost::system::error_code error;
+  stream.connect(
+      {asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(port)},
+      error);
+  if (error) {
+    return {};
+  }
+  beast::http::write(stream, request, error);
+  beast::flat_buffer buffer;
+  Response response;
+  beast::http::read(stream, buffer, response, error);
+  if (error) {
+    return {};
+  }
+  return {
+      .status = response.result_int(),
+      .signature = std::string(io::http::View(response["Response-Signature"])),
+      .retry_after = std::string(io::http::View(response["Retry-After"])),
+      .body = response.body()};
+}
+
+template <typename Condition>
+bool Eventually(Condition condition, milliseconds limit = seconds(5)) {
+  const auto end = std::chrono::steady_clock::now() + limit;
+  while (!condition()) {
+    if (std::chrono::steady_clock::now() > end) {
+      return false;
+    }
+    std::this_thread::sleep_for(milliseconds(20));
+  }
+  return true;
+}
+
+// One sidecar with its target.
+class Vm {
+ public:
+  explicit Vm(int number)
+      : base(kFirstPort + 20 + 20 * number),
+        name("vm-" + std::to_string(number)) {
+    this->target.emplace(this->base + 3);
+    this->Start();
+  }
+  ~Vm() { std::filesystem::remove_all(this->folder); }
+
+  void Start() {
+    std::filesystem::create_directories(this->folder);
+    const std::string path = this->folder + "/settings.json";
+    std::ofstream(path)
+        << R"({"sidecar":{"name":")" << this->name
+        << R"(","data_centre":"z","address":"127.0.0.1","clients_address":")"
+        << Local(this->base) << R"(","announcements_address":")"
+        << Local(this->base + 1) << R"(","readiness_address":")"
+        << Local(this->base + 2) << R"(","target":{"address":")"
+        << Local(this->base + 3) << R"(","service":"s"},"links_port":)"
+        << this->base + 4 << R"(,"metrics_port":)" << this->base + 5
+        << R"(,"store":{"address":")" << Local(kFirstPort)
+        << R"("},"bounds":{}}})";
+    this->process.emplace(
+        std::vector<std::string>{
+            std::string(LYCHEEWELL_BIN_DIR) + "/lycheewelld", "--settings",
+            path},
+        this->folder + "/log");
+  }
+
+  unsigned Announce(const std::string& state) {
+    ++this->sequence;
+    return Ask(this->base + 1, Verb::post,
+               "/v1/instances/i-" + this->name + "/heartbeat", "",
+               R"({"born":1,"info":{"service":"s","slots":4},"status":{"state":")" +
+                   state + R"(","seq":)" + std::to_string(this->sequence) +
+                   R"(,"cold_time":"0ms"}})")
+        .status;
+  }
+
+  bool IsReady() {
+    return Ask(this->base + 2, Verb::get, "/v1/readiness", "").status == 200;
+  }
+
+  Reply Call(const std::string& target, const std::string& key = "k1",
+             Verb verb = Verb::post) {
+    return Ask(this->base, verb, target, key);
+  }
+
+  std::string Log() {
+    std::ifstream file(this->folder + "/log");
+    return {std::istreambuf_iterator<char>(file), {}};
+  }
+
+  int base;
+  std::string name;
+  std::optional<Target> target;
+  std::optional<harness::Process> process;
+  int sequence = 0;
+  std::string folder = (std::filesystem::temp_directory_path() /
+                        ("lycheewell-sidecar-" + std::to_string(getpid()) +
+                         "-" + std::to_string(this->base)))
+                           .string();
+};
+
+std::string ManifestText(int version, const std::string& keys) {
+  return R"({"version":"r)" + std::to_string(version) +
+         R"(","routes":{"columns":["name","host","pathPrefix","kind","timeout","targetLatency",)"
+         R"("priority","attempts","public","service"],"rows":[)"
+         R"(["pay","a.example","/pay/","unsafe","2000ms","1500ms",0,2,false,"s"],)"
+         R"(["look","a.example","/look/","safe","2000ms","1500ms",2,2,false,"s"]]},)"
+         R"("services":{"columns":["name","healthPath","maxConnections"],"rows":[["s","/h",99]]},)"
+         R"("tenants":{"columns":["name","apiKeys"],"rows":[["club",[)" +
+         keys + "]]]}}";
+}
+
+}  // namespace
+
+TEST_CASE("A fleet of sidecars serves a platform's clients", "[sidecar]") {
+  signal(SIGPIPE, SIG_IGN);
+  Store store(kFirstPort);
+  store.PutManifest(ManifestText(1, R"("k1","k2")"));
+  Vm first(0);
+  Vm second(1);
+  REQUIRE(Eventually([&] { return first.IsReady() && second.IsReady(); }));
+  REQUIRE(second.Announce("ready") == 200);
+  REQUIRE(Eventually([&] { return first.Call("/pay/1").status == 200; }));
+
+  SECTION(
+      "a request reaches a target beside another sidecar, without its key") {
+    const Reply reply = first.Call("/pay/1");
+    CHECK(reply.signature == "signed");
+    CHECK(reply.body == "done");
+    CHECK(second.target->last_account == "club");
+    CHECK_FALSE(second.target->saw_key);
+  }
+  SECTION("wrong keys and routes are refused and reach no target") {
+    const int runs = second.target->runs;
+    CHECK(first.Call("/pay/1", "wrong").status == 401);
+    CHECK(first.Call("/pay/1", "").status == 401);
+    CHECK(first.Call("/none/1").status == 404);
+    CHECK(second.target->runs == runs);
+  }
+  SECTION("a withdrawn key stops working") {
+    store.PutManifest(ManifestText(3, R"("k1")"));
+    CHECK(Eventually([&] { return first.Call("/pay/1", "k2").status == 401; },
+                     seconds(2)));
+    CHECK(first.Call("/pay/1", "k1").status == 200);
+  }
+  SECTION(
+      "with the store gone for longer than the bound, keys are refused as not "
+      "run") {
+    store.is_down = true;
+    CHECK(first.Call("/pay/1").status == 200);
+    REQUIRE(Eventually([&] { return first.Call("/pay/1").status == 503; },
+                       seconds(7)));
+    const int runs = second.target->runs;
+    const Reply refused = first.Call("/pay/1");
+    CHECK(refused.status == 503);
+    CHECK_FALSE(refused.retry_after.empty());
+    CHECK(second.target->runs == runs);
+    store.is_down = false;
+    CHECK(Eventually([&] { return first.Call("/pay/1").status == 200; },
+                     seconds(3)));
+  }
+  SECTION(
+      "an unsafe request whose answer is lost is not sent again, a safe one "
+      "is") {
+    const int runs = second.target->runs;
+    CHECK(first.Call("/pay/1?break").status == 502);
+    CHECK(second.target->runs == runs + 1);
+    first.Announce("ready");
+    REQUIRE(Eventually([&] {
+      const int before = first.target->runs + second.target->runs;
+      first.Call("/look/1?break");
+      return first.target->runs + second.target->runs == before + 2;
+    }));
+  }
+  SECTION("a leaving target gets no request after its farewell is confirmed") {
+    first.Announce("ready");
+    REQUIRE(second.Announce("draining") == 200);
+    const int runs = second.target->runs;
+    for (int i = 0; i < 20; ++i) {
+      CHECK(first.Call("/pay/1").status == 200);
+    }
+    CHECK(second.target->runs == runs);
+
+    SECTION(
+        "and also not after its sidecar was killed and a late word says "
+        "ready") {
+      second.process->Kill();
+      second.Start();
+      REQUIRE(Eventually([&] { return second.IsReady(); }));
+      REQUIRE(Eventually([&] {
+        return second.Log().find("link-opened") != std::string::npos;
+      }));
+      std::this_thread::sleep_for(milliseconds(300));
+      second.sequence = 0;
+      second.Announce("ready");
+      for (int i = 0; i < 20; ++i) {
+        first.Call("/pay/1");
+        second.Call("/pay/1");
+      }
+      CHECK(second.target->runs == runs);
+    }
+  }
+  SECTION("SIGTERM cuts no request, and the sidecar ends within its grace") {
+    auto slow = std::async(std::launch::async,
+                           [&] { return first.Call("/pay/1?wait=1200"); });
+    std::this_thread::sleep_for(milliseconds(200));
+    const auto begin = std::chrono::steady_clock::now();
+    first.process->Signal(SIGTERM);
+    CHECK(Eventually([&] { return !first.IsReady(); }, seconds(1)));
+    CHECK(first.Call("/pay/1").status == 200);
+    CHECK(slow.get().status == 200);
+    CHECK(first.process->Wait() == 0);
+    CHECK(std::chrono::steady_clock::now() - begin < seconds(6));
+  }
+  SECTION("a killed sidecar comes back and is found again") {
+    second.process->Kill();
+    const Reply meanwhile = first.Call("/pay/1");
+    CHECK((meanwhile.status == 502 || meanwhile.status == 503));
+    second.Start();
+    REQUIRE(Eventually([&] { return second.IsReady(); }));
+    second.Announce("ready");
+    CHECK(Eventually([&] { return first.Call("/pay/1").status == 200; },
+                     seconds(3)));
+  }
+  SECTION("bytes that are no request and no frame end no process") {
+    for (const int port : {first.base, first.base + 1, first.base + 2,
+                           first.base + 4, first.base + 5}) {
+      asio::io_context context;
+      asio::ip::tcp::socket socket(context);
+      socket.connect({asio::ip::make_address("127.0.0.1"),
+                      static_cast<std::uint16_t>(port)});
+      const std::string junk(5000, '\xfe');
+      boost::system::error_code ignored;
+      asio::write(socket, asio::buffer(junk), ignored);
+    }
+    store.PutManifest("{\"version\":");
+    std::this_thread::sleep_for(milliseconds(200));
+    CHECK(first.process->IsRunning());
+    CHECK(first.Call("/pay/1").status == 200);
+    CHECK(Eventually([&] {
+      return first.Log().find("manifest-unreadable") != std::string::npos;
+    }));
+  }
+}
