--- a/packages/core/src/retry/window_budget.cpp
+++ b/packages/core/src/retry/window_budget.cpp
@@ -30,7 +30,10 @@
   double requests = 0;
   double repeats = 0;
   for (const Slice& slice : this->slices) {
-    requests += slice.requests;
+    // Requests count only while the whole slice is in the window, repeats as
+    // long as any part of it is.
+    const bool is_whole = now - slice.begins_at <= this->options.window;
+    requests += is_whole ? slice.requests : 0;
     repeats += slice.repeats;
   }
   const double base = this->options.base /
--- a/packages/sidecar/include/lycheewell/sidecar/http/server.h
+++ b/packages/sidecar/include/lycheewell/sidecar/http/server.h
@@ -101,7 +101,6 @@
   friend class ServerConnection;
   void Accept();
 
-  boost::asio::io_context& context;
   TimerQueue& timers;
   ServerOptions options;
   boost::asio::ip::tcp::acceptor acceptor;
--- a/packages/sidecar/include/lycheewell/sidecar/requests/front.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/front.h
@@ -39,7 +39,7 @@
     Counters& counters;
   };
 
-  Front(TimerQueue& timers, DecisionLog& log, Options options);
+  Front(TimerQueue& timers, DecisionLog& log, const Options& options);
 
   // Commands.
 
--- a/packages/sidecar/src/http/server.cpp
+++ b/packages/sidecar/src/http/server.cpp
@@ -286,8 +286,7 @@
 
 Server::Server(asio::io_context& new_context, TimerQueue& new_timers,
                ServerOptions new_options)
-    : context(new_context),
-      timers(new_timers),
+    : timers(new_timers),
       options(std::move(new_options)),
       acceptor(new_context) {
   this->acceptor.open(this->options.endpoint.protocol());
--- a/packages/sidecar/src/requests/front.cpp
+++ b/packages/sidecar/src/requests/front.cpp
@@ -92,10 +92,11 @@
   bool is_closed = false;
 };
 
-Front::Front(TimerQueue& new_timers, DecisionLog& new_log, Options new_options)
+Front::Front(TimerQueue& new_timers, DecisionLog& new_log,
+             const Options& new_options)
     : timers(new_timers),
       log(new_log),
-      options(std::move(new_options)),
+      options(new_options),
       entry(std::chrono::steady_clock::now()),
       generator(std::random_device{}()),
       random([this] { return this->generator(); }) {}
--- a/packages/sidecar/src/requests/gate.cpp
+++ b/packages/sidecar/src/requests/gate.cpp
@@ -245,10 +245,10 @@
   ++record.outcomes.ended;
   if (reply.status < kFirstFailure) {
     const core::Duration work = now - call.started_at;
-    record.mean_work = record.mean_work == core::Duration::zero()
-                           ? work
-                           : record.mean_work +
-                                 (work - record.mean_work) / kRouteWorkRuns;
+    record.mean_work =
+        record.mean_work == core::Duration::zero()
+            ? work
+            : record.mean_work + (work - record.mean_work) / kRouteWorkRuns;
   } else if (this->options.last_starved_call() >= call.started_at) {
     ++record.outcomes.starved;
     reply.is_starved = true;
