--- a/packages/core/src/overload/entry_admission.cpp
+++ b/packages/core/src/overload/entry_admission.cpp
@@ -29,6 +29,12 @@
 constexpr double kRecoveryFactor = 1.6;
 constexpr double kRecoveryStep = 0.05;
 
+// Below this part of starved runs there is room again, and by how much is not
+// known: the route opens within three judgements.
+constexpr double kOpenBelow = 0.03;
+constexpr double kOpeningFactor = 2.0;
+constexpr double kOpeningStep = 0.15;
+
 }  // namespace
 
 void EntryAdmission::Report(const std::string& source, const std::string& route,
@@ -67,6 +73,8 @@
       if (!any_cut || route.rank >= least_important) {
         route.part *= std::max(kStrongestCut, 1 - route.starved_part);
       }
+    } else if (route.starved_part < kOpenBelow) {
+      route.part = route.part * kOpeningFactor + kOpeningStep;
     } else if (route.starved_part < kRecoverBelow) {
       route.part = route.part * kRecoveryFactor + kRecoveryStep;
     }
