Keep a target whose daemon restarts: only the target's own leaving is final

The stopping daemon had described it to its peers as leaving, they kept it as retired and handed that back in their Hello. After a rolling restart no target was left (215 refusals 'no target' in 4 s). Ruled out: late announcements (the sequence grew), full gates.

--- a/packages/sidecar/src/requests/gate.cpp
+++ b/packages/sidecar/src/requests/gate.cpp
@@ -547,17 +547,18 @@
 }
 
 mesh::Target Gate::DescribeTarget() const {
-  constexpr std::uint32_t kTakesWork = 1;
-  constexpr std::uint32_t kLeaving = 2;
   mesh::Target description;
   description.set_instance(this->target.instance);
   description.set_born_ms(this->target.born_ms);
   description.set_service(this->options.settings.target_service);
   description.set_slots(this->target.slots);
-  if (this->accepts_work()) {
-    description.set_state(kTakesWork);
+  // Only the target's own leaving is final; its daemon may stop and come back.
+  if (this->state == TargetState::kTakesWork) {
+    description.set_state(this->draining ? mesh::DAEMON_STOPS
+                                         : mesh::TAKES_WORK);
   } else {
-    description.set_state(this->state == TargetState::kGone ? 0 : kLeaving);
+    description.set_state(this->state == TargetState::kGone ? mesh::GONE
+                                                            : mesh::LEAVING);
   }
   const auto cold = this->cold_until - std::chrono::steady_clock::now();
   description.set_cold_ms(
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -46,8 +46,6 @@
 
 constexpr std::uint32_t kNeverProven = 0xffffffffU;
 
-constexpr std::uint32_t kTargetTakesWork = 1;
-
 std::uint32_t Milliseconds(core::Duration duration) {
   return static_cast<std::uint32_t>(std::max<std::int64_t>(
       0,
@@ -211,9 +209,7 @@
       this->front.selector().Remove(member);
       return;
     }
-    if (target.state() != kTargetTakesWork) {
-      this->RememberRetired(target);
-    }
+    this->RememberRetired(target);
     Distance distance = Distance::kSameVm;
     if (member != this->options.settings.name) {
       distance = this->mesh.data_centre_of(member) ==
@@ -227,7 +223,7 @@
          .service = target.service(),
          .distance = distance,
          .slots = static_cast<int>(target.slots()),
-         .accepts_work = target.state() == kTargetTakesWork,
+         .accepts_work = target.state() == mesh::TAKES_WORK,
          .cold_until = now + std::chrono::milliseconds(target.cold_ms())},
         now);
     if (distance != Distance::kSameVm) {
@@ -239,9 +235,8 @@
 
   // A target that leaves is not to get work again when its daemon restarts.
   void RememberRetired(const mesh::Target& target) {
-    constexpr std::uint32_t kLeaving = 2;
     constexpr std::size_t kMost = 256;
-    if (target.state() == kLeaving && this->peers_retired.size() < kMost) {
+    if (target.state() == mesh::LEAVING && this->peers_retired.size() < kMost) {
       this->peers_retired.insert(target.instance() + "@" +
                                  std::to_string(target.born_ms()));
     }
--- a/tests/sidecar/whole_path_test.cpp
+++ b/tests/sidecar/whole_path_test.cpp
@@ -432,6 +432,24 @@
     CHECK(first.process->Wait() == 0);
     CHECK(std::chrono::steady_clock::now() - begin < seconds(6));
   }
+  // The pattern of a rolling restart: only the sidecar stops, its target lives.
+  SECTION("a sidecar that was restarted in order serves its target again") {
+    first.Announce("ready");
+    second.process->Signal(SIGTERM);
+    REQUIRE(second.process->Wait() == 0);
+    second.Start();
+    REQUIRE(Eventually([&] { return second.IsReady(); }));
+    REQUIRE(Eventually(
+        [&] { return second.Log().find("link-opened") != std::string::npos; }));
+    second.Announce("ready");
+    const int runs = second.target->runs;
+    CHECK(Eventually(
+        [&] {
+          second.Call("/pay/1");
+          return second.target->runs > runs;
+        },
+        seconds(3)));
+  }
   SECTION("a killed sidecar comes back and is found again") {
     second.process->Kill();
     const Reply meanwhile = first.Call("/pay/1");
