Read the store for a whole data centre; learn which request a call belongs to

Cause: every daemon waited at the store, 0.5 calls a second each; on the grown sites calls to the store were the first price. Now one daemon of each data centre waits and hands news to its data centre, the others ask only when no proof has reached them for 2.8 waits. Found on the way: a read that ends before the log does counted as proof of the newest manifest; now it does not.

Also first form of the entry's admission by what requests need downstream: the daemon beside a target traces calls by the time limit that they share with their request, and gates count slot time by the client's route.

--- /dev/null
+++ b/packages/core/include/lycheewell/core/overload/demand_model.h
@@ -0,0 +1,97 @@
+// Learns what the requests of a route need at every service downstream and
+// admits, at the entry of the call graph, as much as the services can carry.
+#ifndef LYCHEEWELL_CORE_OVERLOAD_DEMAND_MODEL_H_
+#define LYCHEEWELL_CORE_OVERLOAD_DEMAND_MODEL_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "lycheewell/core/types.h"
+
+namespace lycheewell::core::overload {
+
+// What one daemon has counted for one route since its start.
+struct RouteDemand {
+  // Requests of clients that came to this daemon, and those it let enter.
+  std::uint64_t offered = 0;
+  std::uint64_t entered = 0;
+  // Time that requests of the route, and the calls that follow from them, have
+  // held slots of the target beside the daemon, or would have held had there
+  // been a slot.
+  Duration work{};
+
+  bool operator==(const RouteDemand&) const = default;
+};
+
+// Work whose client request is not known is reported under this route.
+inline constexpr std::string_view kUnknownRoute;
+
+// All daemons get the counts of all others, so that they settle at about the
+// same parts. A request that enters and then fails for lack of room deep in
+// the graph has cost everything that was done for it: refusing it at the entry
+// leaves that room to another one.
+class DemandModel {
+ public:
+  explicit DemandModel(Instant now) : judged_at(now) {}
+
+  // Commands.
+
+  // The counts that `source`, beside a target of `service`, has now.
+  void Report(const std::string& source, const std::string& service,
+              const std::string& route, const RouteDemand& counts);
+
+  // The slots of all targets that take work, by service.
+  void SetSlots(std::map<std::string, double, std::less<>> by_service) {
+    this->slots = std::move(by_service);
+  }
+
+  // Whether the parts are due to be judged anew; SetSlots comes first.
+  bool IsDue(Instant now) const;
+  void Judge(Instant now);
+
+  // Whether a request of `route` may enter. Lower ranks are more important.
+  bool Admit(const std::string& route, int rank);
+
+  // Queries.
+
+  // The part of the route's requests that enters.
+  double admitted_part(std::string_view route) const;
+
+  // Slots of `service` that one request a second of `route` holds.
+  double NeedOf(std::string_view route, std::string_view service) const;
+
+ private:
+  struct Route {
+    // Since the last judgement.
+    std::uint64_t offered = 0;
+    std::uint64_t entered = 0;
+    std::map<std::string, Duration, std::less<>> work;  // by service
+    // Averages over the last judgements, for each second.
+    double offered_rate = 0;
+    double entered_rate = 0;
+    std::map<std::string, double, std::less<>> slots_held;  // by service
+    // Slots that one request a second holds, by service.
+    std::map<std::string, double, std::less<>> needs;
+    double part = 1;
+    double credit = 0;
+    int rank = 0;
+  };
+
+  using Room = std::map<std::string, double, std::less<>>;
+
+  void Average(double seconds);
+  Room RoomForRoutes() const;
+  // The part of `route` beyond `part` that `room` allows; takes the room.
+  static double Take(const Route& route, double part, Room& room);
+
+  std::map<std::string, Route, std::less<>> routes;
+  std::map<std::pair<std::string, std::string>, RouteDemand> known;
+  std::map<std::string, double, std::less<>> slots;
+  Instant judged_at;
+};
+
+}  // namespace lycheewell::core::overload
+
+#endif  // LYCHEEWELL_CORE_OVERLOAD_DEMAND_MODEL_H_
--- a/packages/core/include/lycheewell/core/routing/target_selector.h
+++ b/packages/core/include/lycheewell/core/routing/target_selector.h
@@ -73,6 +73,12 @@
                                const std::set<std::string>& excluded,
                                Instant now, RandomSource& random) const;
 
+  // Service of the member's target; empty when it is not known.
+  std::string ServiceOf(const std::string& member) const;
+
+  // Slots of all targets that can get work now, by service.
+  std::map<std::string, double, std::less<>> SlotsByService(Instant now) const;
+
   // Targets of the service that accept work, reachable or not.
   std::size_t CountOf(std::string_view service) const;
 
@@ -93,6 +99,7 @@
     double cost_ns = 0;
   };
 
+  static double CapacityOf(const Entry& entry, Instant now);
   static Estimate EstimateOf(const Entry& entry, Instant now);
 
   std::map<std::string, Entry> entries;
--- a/packages/core/src/routing/target_selector.cpp
+++ b/packages/core/src/routing/target_selector.cpp
@@ -91,11 +91,32 @@
   }
 }
 
+double TargetSelector::CapacityOf(const Entry& entry, Instant now) {
+  return std::max(1.0,
+                  entry.target.slots *
+                      (now < entry.target.cold_until ? kColdCapacity : 1.0));
+}
+
+std::string TargetSelector::ServiceOf(const std::string& member) const {
+  const auto found = this->entries.find(member);
+  return found == this->entries.end() ? std::string()
+                                      : found->second.target.service;
+}
+
+std::map<std::string, double, std::less<>> TargetSelector::SlotsByService(
+    Instant now) const {
+  std::map<std::string, double, std::less<>> slots;
+  for (const auto& [member, entry] : this->entries) {
+    if (entry.target.accepts_work && entry.is_reachable) {
+      slots[entry.target.service] += CapacityOf(entry, now);
+    }
+  }
+  return slots;
+}
+
 TargetSelector::Estimate TargetSelector::EstimateOf(const Entry& entry,
                                                     Instant now) {
-  const double capacity =
-      std::max(1.0, entry.target.slots *
-                        (now < entry.target.cold_until ? kColdCapacity : 1.0));
+  const double capacity = CapacityOf(entry, now);
   const int reported = entry.load.running + entry.load.waiting;
   const double present = static_cast<double>(
       std::max(entry.outstanding, reported + entry.sent_since_report));
--- a/packages/sidecar/include/lycheewell/sidecar/hooks.h
+++ b/packages/sidecar/include/lycheewell/sidecar/hooks.h
@@ -107,6 +107,8 @@
 struct StoredManifest {
   std::optional<std::string> document;
   std::uint64_t end = 0;
+  // False when the store holds records beyond `end`.
+  bool is_caught_up = true;
 
   bool operator==(const StoredManifest&) const = default;
 };
--- a/packages/sidecar/include/lycheewell/sidecar/links/mesh.h
+++ b/packages/sidecar/include/lycheewell/sidecar/links/mesh.h
@@ -59,6 +59,9 @@
   // Sends on every link that a peer dialled.
   void Broadcast(const mesh::Frame& frame);
 
+  // Sends on the links that peers of this data centre dialled.
+  void BroadcastInDataCentre(const mesh::Frame& frame);
+
   // When ping `id` was sent to `member` (time since boot); once for each ping.
   std::optional<core::Duration> TakePing(const std::string& member,
                                          std::uint64_t id);
@@ -75,6 +78,9 @@
   // The part of these daemons that are reachable, this one included.
   double reachable_part() const;
   std::vector<std::string> reachable_members() const;
+  // Whether this daemon ranks first for `purpose` among the reachable members
+  // of its data centre.
+  bool is_first_in_data_centre(std::string_view purpose) const;
   // Empty for a member that is not known.
   std::string data_centre_of(const std::string& member) const;
   bool has_listed_members() const { return this->listed; }
--- a/packages/sidecar/include/lycheewell/sidecar/manifest/manifest_keeper.h
+++ b/packages/sidecar/include/lycheewell/sidecar/manifest/manifest_keeper.h
@@ -41,6 +41,11 @@
   // Called after each change of the manifest.
   std::function<void()> on_change;
 
+  // Whether this daemon waits at the store for others, too. The others call
+  // the store only when no proof has reached them for a while. Without the
+  // hook every daemon waits at the store.
+  std::function<bool()> is_reader;
+
   // Queries.
 
   // Null before the first manifest.
@@ -60,6 +65,7 @@
  private:
   void ReadNewest();
   void AwaitNewer();
+  bool MayStandBy() const;
   void RetryLater();
   void Handle(std::variant<StoredManifest, StoreError> result,
               core::Duration sent_at);
--- a/packages/sidecar/include/lycheewell/sidecar/requests/front.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/front.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "lycheewell/core/overload/demand_model.h"
 #include "lycheewell/core/overload/entry_admission.h"
 #include "lycheewell/core/retry/window_budget.h"
 #include "lycheewell/core/routing/route_table.h"
@@ -53,9 +54,19 @@
 
   core::routing::TargetSelector& selector() { return this->targets; }
   core::overload::EntryAdmission& admission() { return this->entry; }
+  core::overload::DemandModel& demand() { return this->demand_model; }
 
   // Queries.
 
+  // Requests of clients that came here and that entered, by route.
+  struct Entries {
+    std::uint64_t offered = 0;
+    std::uint64_t entered = 0;
+  };
+  const std::map<std::string, Entries>& entries() const {
+    return this->entry_counts;
+  }
+
   std::size_t open_requests() const { return this->open; }
   // When a call of the target beside this daemon last found no slot.
   core::Instant last_starved_call() const { return this->starved_at; }
@@ -65,6 +76,10 @@
   using PendingPointer = std::shared_ptr<Pending>;
 
   void Admit(const PendingPointer& pending);
+  // The client's request behind a call of the target beside this daemon.
+  std::optional<CallOrigin> OriginOf(const PendingPointer& pending);
+  // Whether the services downstream have room for a client's request.
+  bool MayEnter(const PendingPointer& pending);
   void Dispatch(const PendingPointer& pending);
   void SendTo(const PendingPointer& pending,
               const core::routing::Choice& choice);
@@ -85,6 +100,8 @@
   Options options;
   core::routing::TargetSelector targets;
   core::overload::EntryAdmission entry;
+  core::overload::DemandModel demand_model;
+  std::map<std::string, Entries> entry_counts;
   core::Instant starved_at;
   std::map<std::string, core::retry::WindowBudget> budgets;
   std::map<std::string, core::routing::WeightedTurns> turns;
--- a/packages/sidecar/include/lycheewell/sidecar/requests/gate.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/gate.h
@@ -9,11 +9,13 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include "lycheewell/core/overload/call_tracker.h"
 #include "lycheewell/core/overload/entry_admission.h"
 #include "lycheewell/core/overload/slot_gate.h"
 #include "lycheewell/sidecar/decision_log.h"
@@ -29,6 +31,9 @@
   std::string instance;  // the start of the target that was chosen
   std::string request_id;
   std::string route;
+  // Route of the client's request that this call follows from; empty when that
+  // is not known.
+  std::string origin;
   std::string method;
   std::string path_and_query;
   std::string header_lines;
@@ -38,6 +43,16 @@
   core::Instant wanted_by;
   int rank = 0;
   bool is_idempotent = false;
+  // Another target of the service had no slot for it.
+  bool was_refused = false;
+};
+
+// The request on whose behalf a target makes a call.
+struct CallOrigin {
+  std::string route;  // of the client's request
+  int rank = 0;
+
+  bool operator==(const CallOrigin&) const = default;
 };
 
 // Reason of a refusal because the target's slots are taken for too long.
@@ -85,6 +100,11 @@
 
   void Announce(const Announcement& announcement);
 
+  // The client's request behind a call of `route` that the target makes now.
+  std::optional<CallOrigin> Attribute(const std::string& route,
+                                      core::Instant call_deadline,
+                                      core::RandomSource& random);
+
   // A start of a target that a peer saw leaving; see retired_starts.
   void Retire(const std::string& start);
 
@@ -99,6 +119,10 @@
   const std::set<std::string>& retired_starts() const { return this->retired; }
   std::size_t running() const { return this->running_calls; }
   bool accepts_work() const;
+  // Time in which slots were held or wanted, by origin.
+  const std::map<std::string, core::Duration>& work_by_origin() const {
+    return this->work_of_origin;
+  }
   // Routes whose runs ended here lately.
   std::map<std::string, core::overload::RouteOutcomes> RecentOutcomes() const;
 
@@ -122,6 +146,8 @@
   core::Duration WorkOf(const std::string& route) const;
   void RecordRun(const Call& call, GateReply& reply, core::Instant now);
   void Run(Ticket ticket);
+  // A running call holds no slot any more.
+  void LeaveSlot(Ticket ticket, const Call& call, core::Instant now);
   void Finish(Ticket ticket, http::ExchangeOutcome outcome);
   void Reply(Ticket ticket, GateReply reply);
   void Refuse(Ticket ticket, std::string_view reason,
@@ -148,6 +174,8 @@
   core::Instant expiry_at = core::Instant::max();
 
   std::map<std::string, RouteRecord> outcomes;  // by route
+  std::map<std::string, core::Duration> work_of_origin;
+  core::overload::CallTracker tracker;
 
   Announcement target;  // newest word of the target
   TargetState state = TargetState::kGone;
--- a/packages/sidecar/src/links/mesh.cpp
+++ b/packages/sidecar/src/links/mesh.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <chrono>
 
+#include "lycheewell/core/routing/rendezvous.h"
 #include "lycheewell/io/http/address.h"
 #include "lycheewell/sidecar/manifest/manifest_keeper.h"
 
@@ -372,6 +373,15 @@
   }
 }
 
+void Mesh::BroadcastInDataCentre(const mesh::Frame& frame) {
+  for (const LinkPointer& link : this->accepted) {
+    if (this->data_centre_of(link->member) ==
+        this->options.settings.data_centre) {
+      link->Send(frame);
+    }
+  }
+}
+
 void Mesh::SayLeaving() {
   this->self.set_is_leaving(true);
   mesh::Frame frame;
@@ -395,6 +405,18 @@
                                     : found->second.member.data_centre();
 }
 
+bool Mesh::is_first_in_data_centre(std::string_view purpose) const {
+  using core::routing::RendezvousScore;
+  const std::uint64_t own = RendezvousScore(purpose, this->self.name());
+  return std::none_of(
+      this->peers.begin(), this->peers.end(), [&](const auto& entry) {
+        const auto& [name, peer] = entry;
+        return peer.reachable &&
+               peer.member.data_centre() == this->self.data_centre() &&
+               RendezvousScore(purpose, name) > own;
+      });
+}
+
 bool Mesh::is_reachable(const std::string& member) const {
   const auto found = this->peers.find(member);
   return found != this->peers.end() && found->second.reachable;
--- a/packages/sidecar/src/manifest/manifest_keeper.cpp
+++ b/packages/sidecar/src/manifest/manifest_keeper.cpp
@@ -9,7 +9,18 @@
 
 // Pause after a failed call: short against the time within which a manifest
 // must be in force everywhere.
-constexpr core::Duration kRetryPause = std::chrono::milliseconds(200);
+constexpr core::Duration kRetryPause = std::chrono::milliseconds(250);
+
+// Pause of a daemon that does not wait at the store for others: readers bring
+// it the news first, and every refused call is priced, too.
+constexpr core::Duration kStandByRetryPause = std::chrono::milliseconds(1000);
+
+// A daemon stands by while its proof is younger than this part of the wait. A
+// reader's proof is at most two waits old, and peers are asked once a second.
+constexpr double kStandByWaits = 2.8;
+
+// How often a daemon that stands by looks at the age of its proof.
+constexpr core::Duration kStandByCheck = std::chrono::milliseconds(200);
 
 }  // namespace
 
@@ -39,7 +50,18 @@
   });
 }
 
+bool ManifestKeeper::MayStandBy() const {
+  const auto age = this->proof_age();
+  return this->is_reader && !this->is_reader() && age &&
+         *age < std::chrono::duration_cast<core::Duration>(this->wait *
+                                                           kStandByWaits);
+}
+
 void ManifestKeeper::AwaitNewer() {
+  if (this->MayStandBy()) {
+    this->timers.After(kStandByCheck, [this] { this->AwaitNewer(); });
+    return;
+  }
   this->store.await_manifest(this->end, this->wait,
                              [this, sent_at = TimeSinceBoot()](auto result) {
                                this->Handle(std::move(result), sent_at);
@@ -47,13 +69,15 @@
 }
 
 void ManifestKeeper::RetryLater() {
-  this->timers.After(kRetryPause, [this] {
-    if (this->knows_end) {
-      this->AwaitNewer();
-    } else {
-      this->ReadNewest();
-    }
-  });
+  const bool reads_for_others = !this->is_reader || this->is_reader();
+  this->timers.After(reads_for_others ? kRetryPause : kStandByRetryPause,
+                     [this] {
+                       if (this->knows_end) {
+                         this->AwaitNewer();
+                       } else {
+                         this->ReadNewest();
+                       }
+                     });
 }
 
 void ManifestKeeper::Handle(std::variant<StoredManifest, StoreError> result,
@@ -80,7 +104,8 @@
   // An unreadable manifest may withdraw keys: it proves nothing.
   const bool is_understood =
       !stored.document || this->Adopt(*stored.document, "store");
-  if (this->current && is_understood) {
+  // A read that ends before the log does may lack the newest manifest.
+  if (this->current && is_understood && stored.is_caught_up) {
     this->proven_at = std::max(this->proven_at.value_or(sent_at), sent_at);
   }
   this->AwaitNewer();
--- a/packages/sidecar/src/requests/front.cpp
+++ b/packages/sidecar/src/requests/front.cpp
@@ -40,6 +40,10 @@
 // A later answer than this before the limit cannot reach the client in time.
 constexpr core::Duration kLeastTimeLeft = std::chrono::milliseconds(2);
 
+// Ranks of clients' requests begin here: calls of requests that already run
+// come before all of them.
+constexpr int kNewRequestRank = 1 << 16;
+
 constexpr std::string_view kNoSlotExpected = "no slot expected in time";
 
 std::string_view PathOf(std::string_view path_and_query) {
@@ -76,6 +80,7 @@
   const Route* route = nullptr;
   const core::manifest::Account* account = nullptr;
   std::string service;
+  std::string origin;  // route of the client's request; empty: not known
   core::Instant arrived_at;
   core::Instant deadline;
   core::Instant wanted_by;
@@ -98,6 +103,7 @@
       log(new_log),
       options(new_options),
       entry(std::chrono::steady_clock::now()),
+      demand_model(std::chrono::steady_clock::now()),
       generator(std::random_device{}()),
       random([this] { return this->generator(); }) {}
 
@@ -149,11 +155,37 @@
   this->Admit(pending);
 }
 
+std::optional<CallOrigin> Front::OriginOf(const PendingPointer& pending) {
+  if (!pending->request.time_limit) {
+    return std::nullopt;
+  }
+  return this->options.gate.Attribute(
+      pending->route->name, pending->arrived_at + *pending->request.time_limit,
+      this->random);
+}
+
+bool Front::MayEnter(const PendingPointer& pending) {
+  const Route& route = *pending->route;
+  const core::Instant now = pending->arrived_at;
+  if (this->demand_model.IsDue(now)) {
+    this->demand_model.SetSlots(this->targets.SlotsByService(now));
+    this->demand_model.Judge(now);
+  }
+  Entries& counts = this->entry_counts[route.name];
+  ++counts.offered;
+  if (!this->entry.Admit(route.name, route.priority, now) ||
+      !this->demand_model.Admit(route.name, route.priority)) {
+    return false;
+  }
+  ++counts.entered;
+  return true;
+}
+
 void Front::Admit(const PendingPointer& pending) {
   const Route& route = *pending->route;
   // The account's priority goes before the route's.
   constexpr int kAccountStep = 64;
-  int rank = route.priority;
+  int rank = route.priority + route.priority * kAccountStep;
   if (!route.is_open && pending->table->has_accounts()) {
     if (pending->request.key) {
       pending->account =
@@ -174,14 +206,18 @@
                    kNotReadyRetryAfter);
       return;
     }
-    rank += pending->account->priority.value_or(route.priority) * kAccountStep;
-    if (!this->entry.Admit(route.name, route.priority, pending->arrived_at)) {
+    rank = kNewRequestRank + route.priority +
+           pending->account->priority.value_or(route.priority) * kAccountStep;
+    pending->origin = route.name;
+    if (!this->MayEnter(pending)) {
       this->Refuse(pending, 503, "its calls would find no room",
                    kEntryRetryAfter);
       return;
     }
-  } else {
-    rank += route.priority * kAccountStep;
+  } else if (const auto origin = this->OriginOf(pending)) {
+    pending->origin = origin->route;
+    rank = origin->rank >= kNewRequestRank ? origin->rank - kNewRequestRank
+                                           : origin->rank;
   }
   pending->rank = rank;
   pending->exchange->OnGone([this, pending] {
@@ -265,6 +301,7 @@
         {.instance = choice.instance,
          .request_id = pending->request.id,
          .route = pending->route->name,
+         .origin = pending->origin,
          .method = pending->request.method,
          .path_and_query = pending->request.path_and_query,
          .header_lines = std::move(lines),
@@ -272,7 +309,8 @@
          .deadline = pending->deadline,
          .wanted_by = pending->wanted_by,
          .rank = pending->rank,
-         .is_idempotent = pending->route->is_idempotent},
+         .is_idempotent = pending->route->is_idempotent,
+         .was_refused = pending->refusals > 0},
         [this, pending, send](GateReply reply) {
           if (!pending->is_closed && pending->call_id == send) {
             pending->ticket = 0;
@@ -298,6 +336,8 @@
   call.set_queue_limit_ms(MillisecondsLeft(pending->wanted_by, now));
   call.set_rank(static_cast<std::uint32_t>(std::max(0, pending->rank)));
   call.set_route(pending->route->name);
+  call.set_origin(pending->origin);
+  call.set_was_refused(pending->refusals > 0);
   call.set_is_idempotent(pending->route->is_idempotent);
   this->remote.emplace(pending->call_id, pending);
   if (!this->options.mesh.Send(choice.member, frame)) {
--- a/packages/sidecar/src/requests/gate.cpp
+++ b/packages/sidecar/src/requests/gate.cpp
@@ -184,6 +184,9 @@
   const core::Instant now = std::chrono::steady_clock::now();
   call.is_running = true;
   call.started_at = now;
+  this->tracker.Begin(ticket, call.request.route,
+                      now + std::chrono::floor<std::chrono::milliseconds>(
+                                call.request.deadline - now));
   ++this->running_calls;
   call.connection = this->TakeConnection(call.request.is_idempotent);
   std::string message;
@@ -238,6 +241,23 @@
                                        : found->second.mean_work;
 }
 
+void Gate::LeaveSlot(Ticket ticket, const Call& call, core::Instant now) {
+  --this->running_calls;
+  this->work_of_origin[call.request.origin] += now - call.started_at;
+  this->tracker.End(ticket);
+}
+
+std::optional<CallOrigin> Gate::Attribute(const std::string& route,
+                                          core::Instant call_deadline,
+                                          core::RandomSource& random) {
+  const auto ticket = this->tracker.Attribute(route, call_deadline, random);
+  if (!ticket) {
+    return std::nullopt;
+  }
+  const GateCall& caller = this->calls.at(*ticket).request;
+  return CallOrigin{.route = caller.origin, .rank = caller.rank};
+}
+
 void Gate::RecordRun(const Call& call, GateReply& reply, core::Instant now) {
   constexpr unsigned kFirstFailure = 500;
   RouteRecord& record = this->outcomes[call.request.route];
@@ -264,7 +284,7 @@
   const core::Instant now = std::chrono::steady_clock::now();
   this->timers.Cancel(call.timer);
   call.is_running = false;
-  --this->running_calls;
+  this->LeaveSlot(ticket, call, now);
   GateReply reply;
   bool is_sample = false;
   if (auto* response = std::get_if<io::http::Response>(&outcome)) {
@@ -326,6 +346,10 @@
 
 void Gate::Refuse(Ticket ticket, std::string_view reason,
                   core::Duration retry_after) {
+  const GateCall& request = this->calls.at(ticket).request;
+  if (reason == kNoSlot && !request.was_refused) {
+    this->work_of_origin[request.origin] += this->WorkOf(request.route);
+  }
   if (this->log.WouldWrite(Event::kSlotRefused)) {
     const Call& call = this->calls.at(ticket);
     this->log.Write(
@@ -386,7 +410,7 @@
   }
   this->timers.Cancel(call.timer);
   call.connection->Abort();
-  --this->running_calls;
+  this->LeaveSlot(ticket, call, std::chrono::steady_clock::now());
   constexpr bool kIsSample = false;
   this->slots.Finish(core::Duration::zero(), kIsSample);
   this->calls.erase(found);
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -40,12 +40,29 @@
 // As often as peers report theirs.
 constexpr core::Duration kOwnOutcomesPeriod = std::chrono::seconds(1);
 
-// One wait for a newer manifest, in tenths of the time in which a withdrawn key
-// must stop working: two waits and their calls fit into it.
-constexpr int kWaitPart = 4;
+// One wait for a newer manifest is this part of the time in which a withdrawn
+// key must stop working: two waits, a question to a peer and the wait of a
+// daemon that stood by fit into it.
+constexpr int kWaitParts = 4;
+
+// Names the duty of waiting at the store for the daemons of a data centre.
+constexpr std::string_view kReaderDuty = "manifest";
+
+// A peer's manifest is asked for once in this time, though several peers tell
+// of it at the same moment.
+constexpr core::Duration kAskForManifestAgain = std::chrono::milliseconds(300);
 
 constexpr std::uint32_t kNeverProven = 0xffffffffU;
 
+// Counts of routes that have not changed for this long are left out of
+// reports. It is several times the time between two reports.
+constexpr core::Duration kDemandReportedFor = std::chrono::seconds(5);
+
+std::uint64_t Microseconds(core::Duration duration) {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(duration).count());
+}
+
 std::uint32_t Milliseconds(core::Duration duration) {
   return static_cast<std::uint32_t>(std::max<std::int64_t>(
       0,
@@ -62,7 +79,7 @@
         store(this->options.make_store(this->context, this->timers,
                                        this->options.settings)),
         manifest(this->timers, this->options.dialect, this->store, this->log,
-                 this->options.settings.bounds.key_withdrawal * kWaitPart / 10),
+                 this->options.settings.bounds.key_withdrawal / kWaitParts),
         mesh(this->context, this->timers, this->log,
              {.settings = this->options.settings,
               .store = this->store,
@@ -115,6 +132,10 @@
                                       {"data_centre", settings.data_centre},
                                       {"service", settings.target_service},
                                       {"store", settings.store_address}});
+    this->manifest.is_reader = [this] {
+      return this->mesh.is_first_in_data_centre(kReaderDuty);
+    };
+    this->manifest.on_change = [this] { this->SpreadManifest(); };
     this->clients.Start();
     this->announcements.Start();
     this->readiness.Start();
@@ -196,13 +217,37 @@
                 this->gate.Retire(start);
               }
               if (hello.manifest_version() > this->manifest.version()) {
-                mesh::Frame frame;
-                frame.mutable_manifest_wanted();
-                this->mesh.Send(hello.self().name(), frame);
+                this->AskForManifest(hello.self().name());
               }
             }};
   }
 
+  // The daemon that waits at the store hands news to its data centre at once;
+  // the others' pings bring it to the rest.
+  void SpreadManifest() {
+    if (this->mesh.is_first_in_data_centre(kReaderDuty)) {
+      mesh::Frame frame;
+      this->FillManifest(frame);
+      this->mesh.BroadcastInDataCentre(frame);
+    }
+  }
+
+  void FillManifest(mesh::Frame& frame) const {
+    frame.mutable_manifest()->set_version(this->manifest.version());
+    frame.mutable_manifest()->set_document(this->manifest.document());
+  }
+
+  void AskForManifest(const std::string& member) {
+    const core::Instant now = std::chrono::steady_clock::now();
+    if (now - this->manifest_asked_at < kAskForManifestAgain) {
+      return;
+    }
+    this->manifest_asked_at = now;
+    mesh::Frame frame;
+    frame.mutable_manifest_wanted();
+    this->mesh.Send(member, frame);
+  }
+
   void PutTarget(const std::string& member, const mesh::Target& target) {
     const core::Instant now = std::chrono::steady_clock::now();
     if (target.instance().empty() || target.slots() == 0) {
@@ -284,8 +329,7 @@
         break;
       case mesh::Frame::kManifestWanted: {
         mesh::Frame answer;
-        answer.mutable_manifest()->set_version(this->manifest.version());
-        answer.mutable_manifest()->set_document(this->manifest.document());
+        this->FillManifest(answer);
         link->Send(answer);
         break;
       }
@@ -315,6 +359,7 @@
         {.instance = call.instance(),
          .request_id = call.request_id(),
          .route = call.route(),
+         .origin = call.origin(),
          .method = call.method(),
          .path_and_query = call.path_and_query(),
          .header_lines = std::move(*call.mutable_header_lines()),
@@ -322,7 +367,8 @@
          .deadline = now + std::chrono::milliseconds(call.time_left_ms()),
          .wanted_by = now + std::chrono::milliseconds(call.queue_limit_ms()),
          .rank = static_cast<int>(call.rank()),
-         .is_idempotent = call.is_idempotent()},
+         .is_idempotent = call.is_idempotent(),
+         .was_refused = call.was_refused()},
         [this, link, call_id](requests::GateReply reply) {
           this->AnswerCall(link, call_id, std::move(reply));
         });
@@ -396,9 +442,42 @@
       reported.set_ended(outcomes.ended);
       reported.set_starved(outcomes.starved);
     }
+    const core::Instant now = std::chrono::steady_clock::now();
+    for (const auto& [route, demand] : this->RefreshDemand(now)) {
+      if (now - demand.changed_at < kDemandReportedFor) {
+        mesh::RouteDemand& reported = *pong.add_demand();
+        reported.set_route(route);
+        reported.set_offered(demand.counts.offered);
+        reported.set_entered(demand.counts.entered);
+        reported.set_work_us(Microseconds(demand.counts.work));
+      }
+    }
     link->Send(frame);
   }
 
+  struct OwnDemand {
+    core::overload::RouteDemand counts;
+    core::Instant changed_at;
+  };
+
+  const std::map<std::string, OwnDemand>& RefreshDemand(core::Instant now) {
+    std::map<std::string, core::overload::RouteDemand> counts;
+    for (const auto& [route, entries] : this->front.entries()) {
+      counts[route].offered = entries.offered;
+      counts[route].entered = entries.entered;
+    }
+    for (const auto& [route, work] : this->gate.work_by_origin()) {
+      counts[route].work = work;
+    }
+    for (const auto& [route, count] : counts) {
+      OwnDemand& own = this->own_demand[route];
+      if (!(own.counts == count)) {
+        own = {.counts = count, .changed_at = now};
+      }
+    }
+    return this->own_demand;
+  }
+
   void OnPong(const links::LinkPointer& link, const mesh::Pong& pong) {
     this->ReportLoad(link->member, pong.load());
     for (const mesh::RouteOutcomes& reported : pong.outcomes()) {
@@ -406,10 +485,16 @@
           link->member, reported.route(),
           {.ended = reported.ended(), .starved = reported.starved()});
     }
+    const std::string service = this->front.selector().ServiceOf(link->member);
+    for (const mesh::RouteDemand& reported : pong.demand()) {
+      this->front.demand().Report(
+          link->member, service, reported.route(),
+          {.offered = reported.offered(),
+           .entered = reported.entered(),
+           .work = std::chrono::microseconds(reported.work_us())});
+    }
     if (pong.manifest_version() > this->manifest.version()) {
-      mesh::Frame frame;
-      frame.mutable_manifest_wanted();
-      link->Send(frame);
+      this->AskForManifest(link->member);
     }
     const auto asked_at = this->mesh.TakePing(link->member, pong.id());
     if (asked_at && pong.proof_age_ms() != kNeverProven) {
@@ -484,6 +569,12 @@
       this->front.admission().Report(this->options.settings.name, route,
                                      outcomes);
     }
+    for (const auto& [route, demand] :
+         this->RefreshDemand(std::chrono::steady_clock::now())) {
+      this->front.demand().Report(this->options.settings.name,
+                                  this->options.settings.target_service, route,
+                                  demand.counts);
+    }
     this->timers.After(kOwnOutcomesPeriod,
                        [this] { this->ReportOwnOutcomes(); });
   }
@@ -580,6 +671,8 @@
            std::unordered_map<std::uint64_t, requests::Gate::Ticket>>
       calls_of;
   std::set<std::string> peers_retired;
+  core::Instant manifest_asked_at;
+  std::map<std::string, OwnDemand> own_demand;  // by route
   bool stopping = false;
   bool was_ready = false;
 };
--- /dev/null
+++ b/tests/core/demand_model_test.cpp
@@ -0,0 +1,170 @@
+#include "lycheewell/core/overload/demand_model.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <cmath>
+#include <map>
+
+namespace {
+using lycheewell::core::Duration;
+using lycheewell::core::Instant;
+using namespace lycheewell::core::overload;
+using std::chrono::milliseconds;
+
+constexpr Instant kStart = Instant() + std::chrono::hours(1);
+
+struct Kind {
+  int rank = 0;
+  double per_second = 0;
+  // Slot time of one request at the service deep in the graph.
+  double deep_ms = 0;
+  double served = 0;
+  double offered = 0;
+  RouteDemand counts;
+};
+
+// Calls that one request makes, one after the other.
+constexpr double kCalls = 8;
+
+// The part of its calls that a request makes when each of them finds room with
+// chance `call_part`: the first one that does not ends the request.
+double PartOfCallsMade(double call_part) {
+  return call_part >= 1
+             ? 1
+             : (1 - std::pow(call_part, kCalls)) / (kCalls * (1 - call_part));
+}
+
+// The part of the calls that find room when requests need `load` times what
+// there is.
+double CallPart(double load) {
+  double low = 0;
+  double high = 1;
+  for (int i = 0; i < 50; ++i) {
+    const double middle = (low + high) / 2;
+    (load * PartOfCallsMade(middle) * middle > 1 ? high : low) = middle;
+  }
+  return low > 0.9999 ? 1 : low;
+}
+
+// Requests enter everywhere and need a service deep in the graph with `slots`
+// slots. When they need more than it has, all lose the same part of their
+// calls, so that a request of many calls hardly ever gets all of them.
+class Graph {
+ public:
+  explicit Graph(std::map<std::string, Kind> new_kinds)
+      : kinds(std::move(new_kinds)) {}
+
+  void PlaySecond(double slots) {
+    ++this->second;
+    const Instant now = kStart + std::chrono::seconds(this->second);
+    this->model.SetSlots({{"deep", slots}});
+    if (this->model.IsDue(now)) {
+      this->model.Judge(now);
+    }
+    std::map<std::string, double> entered;
+    double needed = 0;
+    for (auto& [name, kind] : this->kinds) {
+      for (int i = 0; i < kind.per_second; ++i) {
+        entered[name] += this->model.Admit(name, kind.rank) ? 1 : 0;
+      }
+      needed += entered[name] * kind.deep_ms / 1000;
+    }
+    const double call_part = CallPart(needed / slots);
+    const double made = PartOfCallsMade(call_part);
+    for (auto& [name, kind] : this->kinds) {
+      const double chance = kind.deep_ms > 0 ? std::pow(call_part, kCalls) : 1;
+      kind.served += entered[name] * chance;
+      kind.offered += kind.per_second;
+      kind.counts.offered += static_cast<std::uint64_t>(kind.per_second);
+      kind.counts.entered += static_cast<std::uint64_t>(entered[name]);
+      kind.counts.work +=
+          std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+              entered[name] * made * kind.deep_ms / 1000));
+      this->model.Report("gate", "deep", name, kind.counts);
+    }
+  }
+
+  void Play(int seconds, double slots) {
+    for (auto& [name, kind] : this->kinds) {
+      kind.served = 0;
+      kind.offered = 0;
+    }
+    for (int i = 0; i < seconds; ++i) {
+      this->PlaySecond(slots);
+    }
+  }
+
+  double ServedPart(const std::string& name) const {
+    const Kind& kind = this->kinds.at(name);
+    return kind.served / kind.offered;
+  }
+  const DemandModel& demand() const { return this->model; }
+
+ private:
+  std::map<std::string, Kind> kinds;
+  DemandModel model{kStart};
+  int second = 0;
+};
+
+Graph Entries() {
+  return Graph({{"claim", {.rank = 0, .per_second = 500, .deep_ms = 0}},
+                {"pay", {.rank = 0, .per_second = 600, .deep_ms = 320}},
+                {"order", {.rank = 2, .per_second = 250, .deep_ms = 130}},
+                {"read", {.rank = 2, .per_second = 1400, .deep_ms = 320}}});
+}
+
+}  // namespace
+
+// The pattern of bpstu-entries-grown scale-1: 1.8 times the usual requests for
+// 18 s need 672 slots of a deep service that has 455; reads are worth a third
+// of a payment and need as much.
+TEST_CASE("As much enters as the deepest service carries",
+          "[core][overload][load]") {
+  Graph graph = Entries();
+  graph.Play(6, 455);  // what it learns, it learns under overload
+  graph.Play(12, 455);
+
+  SECTION("so that what enters is served") {
+    CHECK(graph.ServedPart("pay") > 0.9);
+    CHECK(graph.ServedPart("order") > 0.9);
+    CHECK(graph.ServedPart("claim") == 1);
+  }
+  SECTION("and the rest of the room goes to the less important ones") {
+    // 455 slots, of which 192 are for payments and 33 for orders.
+    CHECK(graph.ServedPart("read") > 0.35);
+    CHECK(graph.ServedPart("read") < 0.53);
+  }
+  SECTION("and all enter again when there is room for them") {
+    graph.Play(5, 2000);
+    CHECK(graph.demand().admitted_part("read") == 1);
+  }
+  SECTION("and no kind starves when most of the room is lost") {
+    graph.Play(6, 120);
+    graph.Play(10, 120);
+    CHECK(graph.demand().admitted_part("pay") < 0.7);
+    CHECK(graph.demand().admitted_part("read") >= 0.2);
+  }
+}
+
+TEST_CASE("Nothing is refused while there is room", "[core][overload]") {
+  Graph graph = Entries();
+  graph.Play(20, 900);
+  for (const char* name : {"claim", "pay", "order", "read"}) {
+    CHECK(graph.ServedPart(name) == 1);
+  }
+  CHECK(graph.demand().NeedOf("read", "deep") == Approx(0.32).epsilon(0.05));
+}
+
+TEST_CASE("Counts begin anew when a daemon restarts", "[core][overload]") {
+  DemandModel model(kStart);
+  model.Report("a", "s", "r", {.offered = 900, .entered = 900});
+  model.Report("a", "s", "r",
+               {.offered = 50, .entered = 50, .work = milliseconds(500)});
+  model.SetSlots({{"s", 100}});
+  model.Judge(kStart + milliseconds(1000));
+  model.Report("a", "s", "r",
+               {.offered = 100, .entered = 100, .work = milliseconds(1000)});
+  model.Judge(kStart + milliseconds(2000));
+  CHECK(model.admitted_part("r") == 1);
+  CHECK(model.NeedOf("r", "s") < 0.02);
+}
