Hold accounts to rate * window + burst; give tokens back; plan use by unmet work

Tokens of requests that were refused later were lost, too.

Calls are traced against chance matches now, and the planned use of a service follows the part of the wanted work that found no slot. Keepers are cached; the hash over all members ran for each request without a token.

--- a/packages/core/include/lycheewell/core/overload/call_tracker.h
+++ b/packages/core/include/lycheewell/core/overload/call_tracker.h
@@ -44,6 +44,14 @@
     std::size_t position = 0;  // in `order`
   };
 
+  // Calls of one route that a route's requests seem to have made.
+  struct Evidence {
+    // Calls that carried a request's own time limit, and those that would have
+    // by chance.
+    std::int64_t matches = 0;
+    std::int64_t chance_matches = 0;
+  };
+
   std::optional<std::uint64_t> WithDeadline(Instant call_deadline) const;
   bool MakesCalls(const std::string& route,
                   const std::string& call_route) const;
@@ -52,8 +60,8 @@
   std::multimap<Instant, std::uint64_t> by_deadline;
   std::vector<std::uint64_t> order;            // in no order that matters
   std::map<std::string, std::uint64_t> begun;  // by route
-  // Calls that carried a request's own time limit, by route and call's route.
-  std::map<std::string, std::map<std::string, std::uint64_t>> traced;
+  // By the call's route and the request's.
+  std::map<std::string, std::map<std::string, Evidence>> evidence;
 };
 
 }  // namespace lycheewell::core::overload
--- a/packages/core/include/lycheewell/core/overload/demand_model.h
+++ b/packages/core/include/lycheewell/core/overload/demand_model.h
@@ -18,9 +18,10 @@
   std::uint64_t offered = 0;
   std::uint64_t entered = 0;
   // Time that requests of the route, and the calls that follow from them, have
-  // held slots of the target beside the daemon, or would have held had there
-  // been a slot.
+  // held slots of the target beside the daemon, and would have held had there
+  // been a slot for them.
   Duration work{};
+  Duration unmet{};
 
   bool operator==(const RouteDemand&) const = default;
 };
@@ -43,8 +44,13 @@
               const std::string& route, const RouteDemand& counts);
 
   // The slots of all targets that take work, by service.
-  void SetSlots(std::map<std::string, double, std::less<>> by_service) {
-    this->slots = std::move(by_service);
+  void SetSlots(const std::map<std::string, double, std::less<>>& by_service) {
+    for (auto& [name, service] : this->services) {
+      service.slots = 0;
+    }
+    for (const auto& [name, slots] : by_service) {
+      this->services[name].slots = slots;
+    }
   }
 
   // Whether the parts are due to be judged anew; SetSlots comes first.
@@ -67,12 +73,13 @@
     // Since the last judgement.
     std::uint64_t offered = 0;
     std::uint64_t entered = 0;
-    std::map<std::string, Duration, std::less<>> work;  // by service
+    std::map<std::string, Duration, std::less<>> work;   // by service
+    std::map<std::string, Duration, std::less<>> unmet;  // by service
     // Averages over the last judgements, for each second.
     double offered_rate = 0;
     double entered_rate = 0;
-    std::map<std::string, double, std::less<>> slots_held;  // by service
-    // Slots that one request a second holds, by service.
+    std::map<std::string, double, std::less<>> slots_wanted;  // by service
+    // Slots that one request a second needs, by service.
     std::map<std::string, double, std::less<>> needs;
     double part = 1;
     double credit = 0;
@@ -81,14 +88,23 @@
 
   using Room = std::map<std::string, double, std::less<>>;
 
+  // A service's room and how much of it is planned to be used.
+  struct Service {
+    double slots = 0;
+    double planned_use = 0;
+    bool is_short = false;  // more was offered than it has room for
+  };
+
   void Average(double seconds);
+  void AdjustPlannedUse();
   Room RoomForRoutes() const;
+  void FindShortServices(const Room& room);
   // The part of `route` beyond `part` that `room` allows; takes the room.
   static double Take(const Route& route, double part, Room& room);
 
   std::map<std::string, Route, std::less<>> routes;
   std::map<std::pair<std::string, std::string>, RouteDemand> known;
-  std::map<std::string, double, std::less<>> slots;
+  std::map<std::string, Service, std::less<>> services;
   Instant judged_at;
 };
 
--- a/packages/core/src/overload/call_tracker.cpp
+++ b/packages/core/src/overload/call_tracker.cpp
@@ -6,17 +6,23 @@
 namespace lycheewell::core::overload {
 namespace {
 
-// Time limits are told in whole milliseconds, and a call spends some time on
-// its way.
-constexpr Duration kSameDeadline = std::chrono::microseconds(1500);
+// Time limits are told in whole milliseconds, rounded down, and a call spends
+// some time on its way.
+constexpr Duration kMostLost = std::chrono::microseconds(1100);
+constexpr Duration kMostGained = std::chrono::microseconds(700);
+
+// Requests that end this much later than a call match it only by chance.
+constexpr Duration kChanceOffset = std::chrono::milliseconds(5);
 
 // Draws among the running requests before the last one drawn is taken.
 constexpr int kMostDraws = 8;
 
-// Time limits that are equal by chance make some requests seem to make calls:
-// routes with less than this part of the most traced calls a request make none.
+// Routes with less than this part of the most calls a request make none.
 constexpr double kLeastPartOfCalls = 0.25;
 
+// With fewer matches than this beyond chance every route may make calls.
+constexpr std::int64_t kLeastMatches = 20;
+
 }  // namespace
 
 void CallTracker::Begin(std::uint64_t ticket, const std::string& route,
@@ -50,11 +56,11 @@
 std::optional<std::uint64_t> CallTracker::WithDeadline(
     Instant call_deadline) const {
   std::optional<std::uint64_t> nearest;
-  Duration distance = kSameDeadline;
+  Duration distance = kMostLost;
   for (auto candidate =
-           this->by_deadline.lower_bound(call_deadline - kSameDeadline);
+           this->by_deadline.lower_bound(call_deadline - kMostGained);
        candidate != this->by_deadline.end() &&
-       candidate->first <= call_deadline + kSameDeadline;
+       candidate->first <= call_deadline + kMostLost;
        ++candidate) {
     const Duration away = std::chrono::abs(candidate->first - call_deadline);
     if (away <= distance) {
@@ -67,31 +73,37 @@
 
 bool CallTracker::MakesCalls(const std::string& route,
                              const std::string& call_route) const {
-  const auto known = this->traced.find(call_route);
-  if (known == this->traced.end()) {
+  const auto known = this->evidence.find(call_route);
+  if (known == this->evidence.end()) {
     return true;
   }
-  const auto calls_each = [this](const auto& entry) {
-    return static_cast<double>(entry.second) /
-           static_cast<double>(this->begun.at(entry.first));
-  };
+  std::int64_t matches = 0;
   double most = 0;
-  for (const auto& entry : known->second) {
-    most = std::max(most, calls_each(entry));
+  double own = 0;
+  for (const auto& [name, seen] : known->second) {
+    const std::int64_t beyond_chance = seen.matches - seen.chance_matches;
+    const double each = static_cast<double>(beyond_chance) /
+                        static_cast<double>(this->begun.at(name));
+    matches += beyond_chance;
+    most = std::max(most, each);
+    own = name == route ? each : own;
   }
-  const auto own = known->second.find(route);
-  return own != known->second.end() &&
-         calls_each(*own) >= kLeastPartOfCalls * most;
+  return matches < kLeastMatches || own >= kLeastPartOfCalls * most;
 }
 
 std::optional<std::uint64_t> CallTracker::Attribute(
     const std::string& call_route, Instant call_deadline,
     RandomSource& random) {
-  if (const auto traced_to = this->WithDeadline(call_deadline)) {
-    const std::string& route = this->runs.at(*traced_to).route;
-    ++this->traced[call_route][route];
+  auto& seen = this->evidence[call_route];
+  if (const auto by_chance =
+          this->WithDeadline(call_deadline + kChanceOffset)) {
+    ++seen[this->runs.at(*by_chance).route].chance_matches;
+  }
+  if (const auto match = this->WithDeadline(call_deadline)) {
+    const std::string& route = this->runs.at(*match).route;
+    ++seen[route].matches;
     if (this->MakesCalls(route, call_route)) {
-      return traced_to;
+      return match;
     }
   }
   std::optional<std::uint64_t> drawn;
--- a/packages/core/src/rate/fleet_tokens.cpp
+++ b/packages/core/src/rate/fleet_tokens.cpp
@@ -17,6 +17,13 @@
 // smallest limited rates give a token in about this time.
 constexpr Duration kExhaustedPause = std::chrono::milliseconds(60);
 
+// Tokens of requests that have not run can be taken again for this long. Kept
+// longer, they could add up and be spent in one window.
+constexpr Duration kReturnedLifetime = std::chrono::milliseconds(500);
+
+// Slices of a window. A slice counts until its last moment has left the window.
+constexpr int kSlices = 25;
+
 // A new bucket holds what the rate gives in this time.
 constexpr double kInitialSeconds = 0.2;
 
@@ -41,14 +48,82 @@
   return taken;
 }
 
+WindowBucket::WindowBucket(const AccountRate& new_rate, Duration new_window,
+                           Instant now)
+    : rate(new_rate),
+      window(new_window),
+      level(std::min(new_rate.burst, new_rate.per_second * kInitialSeconds)),
+      filled_at(now),
+      created_at(now) {
+  const Duration length = this->window / kSlices;
+  for (int i = kSlices; i > 0; --i) {
+    this->slices.push_back(
+        {.begins_at = now - i * length,
+         .granted = this->rate.per_second * Seconds(length)});
+  }
+}
+
+void WindowBucket::ChangeRate(const AccountRate& new_rate) {
+  if (new_rate == this->rate) {
+    return;
+  }
+  const double factor =
+      new_rate.per_second / std::max(1e-9, this->rate.per_second);
+  for (Slice& slice : this->slices) {
+    slice.granted *= factor;
+  }
+  this->level *= std::min(1.0, factor);
+  this->rate = new_rate;
+}
+
+double WindowBucket::GrantedInWindow(Instant now) {
+  const Duration length = this->window / kSlices;
+  while (!this->slices.empty() &&
+         now - this->slices.front().begins_at > this->window + length) {
+    this->slices.pop_front();
+  }
+  double granted = 0;
+  for (const Slice& slice : this->slices) {
+    granted += slice.granted;
+  }
+  return granted;
+}
+
+int WindowBucket::Take(int amount, const AccountRate& new_rate, Instant now) {
+  this->ChangeRate(new_rate);
+  // In its first window the bucket does not know what was granted before.
+  const bool knows_window = now - this->created_at >= this->window;
+  const double refill =
+      this->rate.per_second +
+      (knows_window ? this->rate.burst / Seconds(this->window) : 0.0);
+  this->level += refill * std::max(0.0, Seconds(now - this->filled_at));
+  this->level = std::min(this->level, std::max(1.0, this->rate.burst));
+  this->filled_at = now;
+  const double most = this->rate.per_second * Seconds(this->window) +
+                      std::max(1.0, this->rate.burst);
+  const double room = std::min(this->level, most - this->GrantedInWindow(now));
+  const int taken = std::clamp(static_cast<int>(std::floor(room)), 0, amount);
+  this->level -= taken;
+  if (this->slices.empty() ||
+      now - this->slices.back().begins_at >= this->window / kSlices) {
+    this->slices.push_back({.begins_at = now});
+  }
+  this->slices.back().granted += taken;
+  return taken;
+}
+
 int TokenKeeper::Grant(const std::string& account, int amount,
                        const AccountRate& rate, double fleet_part,
                        Instant now) {
   const AccountRate part{.per_second = rate.per_second * fleet_part,
                          .burst = rate.burst * fleet_part};
-  PlainBucket& bucket =
-      this->buckets.try_emplace(account, PlainBucket(part, now)).first->second;
-  return bucket.Take(amount, part, now);
+  auto found = this->buckets.find(account);
+  if (found == this->buckets.end()) {
+    found =
+        this->buckets.emplace(account, WindowBucket(part, this->window, now))
+            .first;
+  }
+  return found->second.Take(amount, part, now);
 }
 
 TokenHolder::TokenHolder(Instant now) : measured_at(now) {}
@@ -62,6 +137,10 @@
     this->measured_at = now;
     this->measured = 0;
   }
+  if (this->returned > 0 && now - this->returned_since < kReturnedLifetime) {
+    --this->returned;
+    return true;
+  }
   if (this->balance <= 0) {
     return false;
   }
@@ -69,6 +148,14 @@
   return true;
 }
 
+void TokenHolder::Return(Instant now) {
+  if (now - this->returned_since >= kReturnedLifetime) {
+    this->returned_since = now;
+    this->returned = 0;
+  }
+  ++this->returned;
+}
+
 void TokenHolder::Receive(int granted, int asked, Instant now) {
   this->balance += granted;
   if (granted == 0 && asked > 0) {
--- a/packages/sidecar/include/lycheewell/sidecar/links/mesh.h
+++ b/packages/sidecar/include/lycheewell/sidecar/links/mesh.h
@@ -78,6 +78,8 @@
   // The part of these daemons that are reachable, this one included.
   double reachable_part() const;
   std::vector<std::string> reachable_members() const;
+  // Grows whenever a member becomes reachable or is no longer.
+  std::uint64_t reachability_version() const { return this->reachability; }
   // Whether this daemon ranks first for `purpose` among the reachable members
   // of its data centre.
   bool is_first_in_data_centre(std::string_view purpose) const;
@@ -121,6 +123,7 @@
   std::map<std::string, Peer> peers;
   std::set<LinkPointer> accepted;
   std::uint64_t last_ping = 0;
+  std::uint64_t reachability = 1;
   bool listed = false;
 };
 
--- a/packages/sidecar/include/lycheewell/sidecar/requests/accounts.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/accounts.h
@@ -25,13 +25,16 @@
   using Callback =
       std::function<void(bool allowed, core::Duration retry_after)>;
 
-  Accounts(TimerQueue& timers, links::Mesh& mesh);
+  Accounts(TimerQueue& timers, links::Mesh& mesh, core::Duration window);
 
   // Commands.
 
   // `done` may be called before Acquire returns.
   void Acquire(const core::manifest::Account& account, Callback done);
 
+  // A request of the account that was allowed has not run.
+  void Return(const core::manifest::Account& account);
+
   // A peer asks this daemon as keeper. `account` is null when the manifest
   // here does not know it.
   void OnAsk(const links::LinkPointer& link, const mesh::TokenAsk& ask,
@@ -72,6 +75,9 @@
   std::map<std::string, Holding> holdings;
   std::map<std::uint64_t, Ask> asks;
   std::uint64_t last_ask = 0;
+  // Keepers by account, for one state of the mesh.
+  std::map<std::string, std::string> keepers;
+  std::uint64_t keepers_known_at = 0;
 };
 
 }  // namespace lycheewell::sidecar::requests
--- a/packages/sidecar/include/lycheewell/sidecar/requests/gate.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/gate.h
@@ -119,8 +119,12 @@
   const std::set<std::string>& retired_starts() const { return this->retired; }
   std::size_t running() const { return this->running_calls; }
   bool accepts_work() const;
-  // Time in which slots were held or wanted, by origin.
-  const std::map<std::string, core::Duration>& work_by_origin() const {
+  // Time for which slots were held, or wanted in vain.
+  struct OriginWork {
+    core::Duration held{};
+    core::Duration unmet{};
+  };
+  const std::map<std::string, OriginWork>& work_by_origin() const {
     return this->work_of_origin;
   }
   // Routes whose runs ended here lately.
@@ -174,7 +178,7 @@
   core::Instant expiry_at = core::Instant::max();
 
   std::map<std::string, RouteRecord> outcomes;  // by route
-  std::map<std::string, core::Duration> work_of_origin;
+  std::map<std::string, OriginWork> work_of_origin;
   core::overload::CallTracker tracker;
 
   Announcement target;  // newest word of the target
--- a/packages/sidecar/include/lycheewell/sidecar/settings.h
+++ b/packages/sidecar/include/lycheewell/sidecar/settings.h
@@ -22,6 +22,8 @@
   double repeat_ratio = 0.2;
   double repeat_base = 48;
   core::Duration repeat_window = std::chrono::seconds(10);
+  // An account's requests in any such window: rate * window + burst.
+  core::Duration account_window = std::chrono::seconds(5);
 
   bool operator==(const BoundSettings&) const = default;
 };
--- a/packages/sidecar/src/links/mesh.cpp
+++ b/packages/sidecar/src/links/mesh.cpp
@@ -304,6 +304,7 @@
     return;
   }
   peer.reachable = reachable;
+  ++this->reachability;
   this->options.hooks.on_reachable(peer.member.name(), reachable);
 }
 
--- a/packages/sidecar/src/requests/accounts.cpp
+++ b/packages/sidecar/src/requests/accounts.cpp
@@ -24,8 +24,9 @@
 
 }  // namespace
 
-Accounts::Accounts(TimerQueue& new_timers, links::Mesh& new_mesh)
-    : timers(new_timers), mesh(new_mesh) {}
+Accounts::Accounts(TimerQueue& new_timers, links::Mesh& new_mesh,
+                   core::Duration window)
+    : timers(new_timers), mesh(new_mesh), keeper(window) {}
 
 Accounts::Holding& Accounts::HoldingOf(const std::string& account) {
   return this->holdings
@@ -35,6 +36,14 @@
 }
 
 std::string Accounts::KeeperOf(const std::string& account) {
+  if (this->keepers_known_at != this->mesh.reachability_version()) {
+    this->keepers_known_at = this->mesh.reachability_version();
+    this->keepers.clear();
+  }
+  const auto known = this->keepers.find(account);
+  if (known != this->keepers.end()) {
+    return known->second;
+  }
   std::string keeper = this->mesh.self_name();
   std::uint64_t best = core::routing::RendezvousScore(account, keeper);
   for (const std::string& member : this->mesh.reachable_members()) {
@@ -44,9 +53,17 @@
       keeper = member;
     }
   }
+  this->keepers.emplace(account, keeper);
   return keeper;
 }
 
+void Accounts::Return(const core::manifest::Account& account) {
+  if (account.rate_per_second > 0) {
+    this->HoldingOf(account.name)
+        .holder.Return(std::chrono::steady_clock::now());
+  }
+}
+
 void Accounts::Acquire(const core::manifest::Account& account, Callback done) {
   if (account.rate_per_second <= 0) {
     done(true, {});
--- a/packages/sidecar/src/requests/front.cpp
+++ b/packages/sidecar/src/requests/front.cpp
@@ -85,8 +85,9 @@
   core::Instant deadline;
   core::Instant wanted_by;
   int rank = 0;
-  int sends = 0;     // to targets, as far as known
-  int refusals = 0;  // by daemons, before a target got the request
+  bool holds_token = false;  // of its account's rate
+  int sends = 0;             // to targets, as far as known
+  int refusals = 0;          // by daemons, before a target got the request
   std::set<std::string> excluded;
   TimerQueue::Id timer = 0;
   // The send under way.
@@ -173,8 +174,7 @@
   }
   Entries& counts = this->entry_counts[route.name];
   ++counts.offered;
-  if (!this->entry.Admit(route.name, route.priority, now) ||
-      !this->demand_model.Admit(route.name, route.priority)) {
+  if (!this->demand_model.Admit(route.name, route.priority)) {
     return false;
   }
   ++counts.entered;
@@ -246,6 +246,7 @@
           this->Refuse(pending, 429, "account rate", retry_after);
           return;
         }
+        pending->holds_token = true;
         this->Dispatch(pending);
       });
 }
@@ -535,6 +536,9 @@
          {"after_ms", Text(now - pending->arrived_at)}});
   }
   this->options.counters.Count("requests_refused", reason);
+  if (pending->holds_token) {
+    this->options.accounts.Return(*pending->account);
+  }
   if (reason == kNoSlot || reason == kNoSlotExpected) {
     this->NoteStarved(pending);
   }
--- a/packages/sidecar/src/requests/gate.cpp
+++ b/packages/sidecar/src/requests/gate.cpp
@@ -243,7 +243,7 @@
 
 void Gate::LeaveSlot(Ticket ticket, const Call& call, core::Instant now) {
   --this->running_calls;
-  this->work_of_origin[call.request.origin] += now - call.started_at;
+  this->work_of_origin[call.request.origin].held += now - call.started_at;
   this->tracker.End(ticket);
 }
 
@@ -348,7 +348,7 @@
                   core::Duration retry_after) {
   const GateCall& request = this->calls.at(ticket).request;
   if (reason == kNoSlot && !request.was_refused) {
-    this->work_of_origin[request.origin] += this->WorkOf(request.route);
+    this->work_of_origin[request.origin].unmet += this->WorkOf(request.route);
   }
   if (this->log.WouldWrite(Event::kSlotRefused)) {
     const Call& call = this->calls.at(ticket);
--- a/packages/sidecar/src/settings.cpp
+++ b/packages/sidecar/src/settings.cpp
@@ -18,6 +18,9 @@
 // Longest duration that a setting may state; larger ones are mistakes.
 constexpr double kMostSeconds = 86'400;
 
+// Shorter windows cannot be divided into slices of whole milliseconds.
+constexpr core::Duration kLeastAccountWindow = std::chrono::milliseconds(100);
+
 json::value ParseText(std::string_view text, boost::system::error_code& error) {
   json::parse_options options;
   options.allow_comments = true;
@@ -189,7 +192,13 @@
           .repeat_base =
               reader.Number({"bounds", "repeat_base"}, usual.repeat_base),
           .repeat_window =
-              reader.Time({"bounds", "repeat_window"}, usual.repeat_window)}};
+              reader.Time({"bounds", "repeat_window"}, usual.repeat_window),
+          .account_window =
+              reader.Time({"bounds", "account_window"}, usual.account_window)}};
+  if (settings.bounds.account_window < kLeastAccountWindow) {
+    problems.push_back(
+        {"sidecar.bounds.account_window", "is shorter than 100ms"});
+  }
   if (!settings.address.empty() &&
       !io::http::TryParseEndpoint(settings.address + ":1")) {
     problems.push_back({"sidecar.address", "is not an IP number"});
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -84,7 +84,8 @@
              {.settings = this->options.settings,
               .store = this->store,
               .hooks = this->MeshHooks()}),
-        accounts(this->timers, this->mesh),
+        accounts(this->timers, this->mesh,
+                 this->options.settings.bounds.account_window),
         gate(this->context, this->timers, this->log,
              {.settings = this->options.settings,
               .dialect = this->options.dialect,
@@ -450,6 +451,7 @@
         reported.set_offered(demand.counts.offered);
         reported.set_entered(demand.counts.entered);
         reported.set_work_us(Microseconds(demand.counts.work));
+        reported.set_unmet_us(Microseconds(demand.counts.unmet));
       }
     }
     link->Send(frame);
@@ -467,7 +469,8 @@
       counts[route].entered = entries.entered;
     }
     for (const auto& [route, work] : this->gate.work_by_origin()) {
-      counts[route].work = work;
+      counts[route].work = work.held;
+      counts[route].unmet = work.unmet;
     }
     for (const auto& [route, count] : counts) {
       OwnDemand& own = this->own_demand[route];
@@ -491,7 +494,8 @@
           link->member, service, reported.route(),
           {.offered = reported.offered(),
            .entered = reported.entered(),
-           .work = std::chrono::microseconds(reported.work_us())});
+           .work = std::chrono::microseconds(reported.work_us()),
+           .unmet = std::chrono::microseconds(reported.unmet_us())});
     }
     if (pong.manifest_version() > this->manifest.version()) {
       this->AskForManifest(link->member);
