Pass over failing and slow targets; correct needs by starved requests

The need is now corrected by the part of starved requests, falls slowly while there are such, and every route gets at least 0.35 of the part of all requests. The cut by starved runs is gone: the same signal corrects the needs. Its test's pattern stands in demand_model_test.cpp with the same bounds.

Where all fail alike, all get work.

Retry-After is a part of the latency target: after 1.5 s a return was late.

--- a/packages/core/include/lycheewell/core/overload/demand_model.h
+++ b/packages/core/include/lycheewell/core/overload/demand_model.h
@@ -22,6 +22,10 @@
   // been a slot for them.
   Duration work{};
   Duration unmet{};
+  // Runs of clients' requests that ended at that target, and those of them that
+  // failed because a call had found no slot.
+  std::uint64_t ended = 0;
+  std::uint64_t starved = 0;
 
   bool operator==(const RouteDemand&) const = default;
 };
@@ -39,9 +43,11 @@
 
   // Commands.
 
-  // The counts that `source`, beside a target of `service`, has now.
+  // The counts by route that `source`, beside a target of `service`, has now;
+  // routes whose counts have not changed may be left out. What a source had
+  // counted before its first report does not count.
   void Report(const std::string& source, const std::string& service,
-              const std::string& route, const RouteDemand& counts);
+              const std::map<std::string, RouteDemand>& counts);
 
   // The slots of all targets that take work, by service.
   void SetSlots(const std::map<std::string, double, std::less<>>& by_service) {
@@ -73,14 +79,19 @@
     // Since the last judgement.
     std::uint64_t offered = 0;
     std::uint64_t entered = 0;
+    std::uint64_t ended = 0;
+    std::uint64_t starved = 0;
     std::map<std::string, Duration, std::less<>> work;   // by service
     std::map<std::string, Duration, std::less<>> unmet;  // by service
     // Averages over the last judgements, for each second.
     double offered_rate = 0;
     double entered_rate = 0;
+    double ended_rate = 0;
+    double starved_rate = 0;
     std::map<std::string, double, std::less<>> slots_wanted;  // by service
     // Slots that one request a second needs, by service.
     std::map<std::string, double, std::less<>> needs;
+    int judgements = 0;
     double part = 1;
     double credit = 0;
     int rank = 0;
@@ -96,14 +107,17 @@
   };
 
   void Average(double seconds);
+  static void LearnNeed(Route& route, const std::string& service);
   void AdjustPlannedUse();
   Room RoomForRoutes() const;
   void FindShortServices(const Room& room);
+  double LeastPart() const;
   // The part of `route` beyond `part` that `room` allows; takes the room.
   static double Take(const Route& route, double part, Room& room);
 
   std::map<std::string, Route, std::less<>> routes;
-  std::map<std::pair<std::string, std::string>, RouteDemand> known;
+  // Last counts by source and route.
+  std::map<std::string, std::map<std::string, RouteDemand>> known;
   std::map<std::string, Service, std::less<>> services;
   Instant judged_at;
 };
--- a/packages/core/include/lycheewell/core/routing/target_selector.h
+++ b/packages/core/include/lycheewell/core/routing/target_selector.h
@@ -22,6 +22,8 @@
   int running = 0;
   int waiting = 0;
   Duration mean_work{};
+  // Part of its runs that fail by its own fault.
+  double failing_part = 0;
 
   bool operator==(const TargetLoad&) const = default;
 };
--- a/packages/core/src/overload/demand_model.cpp
+++ b/packages/core/src/overload/demand_model.cpp
@@ -1,7 +1,6 @@
 #include "lycheewell/core/overload/demand_model.h"
 
 #include <algorithm>
-#include <cstdio>
 #include <utility>
 #include <vector>
 
@@ -19,23 +18,30 @@
 // them and follows the part of the wanted work that finds no slot: requests can
 // wait for a moment, and what is known of needs and slots is never exact.
 constexpr double kFirstPlannedUse = 0.97;
-constexpr double kLeastPlannedUse = 0.7;
-constexpr double kMostPlannedUse = 1.2;
+constexpr double kLeastPlannedUse = 0.85;
+constexpr double kMostPlannedUse = 1.1;
 constexpr double kUnmetWithRoom = 0.005;
 constexpr double kUnmetWithoutRoom = 0.02;
-constexpr double kRaisePlannedUse = 1.04;
-constexpr double kLowerPlannedUse = 0.94;
+constexpr double kRaisePlannedUse = 1.08;
+constexpr double kLowerPlannedUse = 0.95;
 
-// Part of a route that always enters: no kind of request starves while others
-// are served, and its need stays known.
-constexpr double kLeastPart = 0.1;
+// Every route enters at least with this part of the part of all requests that
+// enters: no kind of request is to be served less than a quarter as often as
+// all. The second bound keeps needs known.
+constexpr double kLeastPartOfAll = 0.35;
+constexpr double kLeastPart = 0.05;
 
 // Below this rate the need of a route is not known well enough.
 constexpr double kLeastRate = 0.5;
 
-// Needs fall by at most this factor in a judgement. Requests that fail early
-// for lack of room seem to need less than they do.
-constexpr double kSlowestFall = 0.8;
+// Needs fall by at most this factor in a judgement, and not at all while more
+// than this part of the route's requests are starved: what fails early for
+// lack of room has not shown what it needs.
+constexpr double kSlowestFall = 0.85;
+constexpr double kFewStarved = 0.05;
+
+// A starved request is taken to have done this part of its work.
+constexpr double kWorkOfStarved = 0.15;
 
 // A part moves at most by this factor and step in one judgement, up or down.
 constexpr double kFastest = 2.0;
@@ -45,25 +51,34 @@
   return std::chrono::duration<double>(duration).count();
 }
 
-double Averaged(double before, double last) {
-  return before + kLastPeriodWeight * (last - before);
+// `weight` is that of the last period.
+double Averaged(double before, double last, double weight) {
+  return before + weight * (last - before);
 }
 
 }  // namespace
 
 void DemandModel::Report(const std::string& source, const std::string& service,
-                         const std::string& route, const RouteDemand& counts) {
-  RouteDemand& before = this->known[{source, route}];
-  if (counts.offered < before.offered || counts.entered < before.entered ||
-      counts.work < before.work || counts.unmet < before.unmet) {
-    before = {};  // the source has restarted
+                         const std::map<std::string, RouteDemand>& counts) {
+  const auto [known_source, is_first] = this->known.try_emplace(source);
+  for (const auto& [name, now] : counts) {
+    RouteDemand& before = known_source->second[name];
+    if (!is_first) {
+      if (now.offered < before.offered || now.entered < before.entered ||
+          now.work < before.work || now.unmet < before.unmet ||
+          now.ended < before.ended || now.starved < before.starved) {
+        before = {};  // the source has restarted
+      }
+      Route& route = this->routes[name];
+      route.offered += now.offered - before.offered;
+      route.entered += now.entered - before.entered;
+      route.ended += now.ended - before.ended;
+      route.starved += now.starved - before.starved;
+      route.work[service] += now.work - before.work;
+      route.unmet[service] += now.unmet - before.unmet;
+    }
+    before = now;
   }
-  Route& entry = this->routes[route];
-  entry.offered += counts.offered - before.offered;
-  entry.entered += counts.entered - before.entered;
-  entry.work[service] += counts.work - before.work;
-  entry.unmet[service] += counts.unmet - before.unmet;
-  before = counts;
 }
 
 bool DemandModel::IsDue(Instant now) const {
@@ -72,25 +87,40 @@
 
 void DemandModel::Average(double seconds) {
   for (auto& [name, route] : this->routes) {
-    route.offered_rate = Averaged(
-        route.offered_rate,
-        static_cast<double>(std::exchange(route.offered, 0)) / seconds);
-    route.entered_rate = Averaged(
-        route.entered_rate,
-        static_cast<double>(std::exchange(route.entered, 0)) / seconds);
+    ++route.judgements;
+    const double weight = std::max(kLastPeriodWeight, 1.0 / route.judgements);
+    const auto average = [&](double& rate, std::uint64_t& count) {
+      rate = Averaged(
+          rate, static_cast<double>(std::exchange(count, 0)) / seconds, weight);
+    };
+    average(route.offered_rate, route.offered);
+    average(route.entered_rate, route.entered);
+    average(route.ended_rate, route.ended);
+    average(route.starved_rate, route.starved);
     for (auto& [service, work] : route.work) {
       const Duration wanted =
           std::exchange(work, {}) + std::exchange(route.unmet[service], {});
       double& slots = route.slots_wanted[service];
-      slots = Averaged(slots, Seconds(wanted) / seconds);
-      if (route.entered_rate >= kLeastRate) {
-        double& need = route.needs[service];
-        need = std::max(slots / route.entered_rate, need * kSlowestFall);
-      }
+      slots = Averaged(slots, Seconds(wanted) / seconds, weight);
+      LearnNeed(route, service);
     }
   }
 }
 
+void DemandModel::LearnNeed(Route& route, const std::string& service) {
+  if (route.entered_rate < kLeastRate) {
+    return;
+  }
+  const double starving =
+      route.ended_rate > 0
+          ? std::clamp(route.starved_rate / route.ended_rate, 0.0, 1.0)
+          : 0.0;
+  const double seen = route.slots_wanted[service] / route.entered_rate /
+                      (1 - starving * (1 - kWorkOfStarved));
+  double& need = route.needs[service];
+  need = std::max(seen, starving > kFewStarved ? need : need * kSlowestFall);
+}
+
 void DemandModel::AdjustPlannedUse() {
   std::map<std::string_view, std::pair<Duration, Duration>> sums;
   for (const auto& [name, route] : this->routes) {
@@ -152,6 +182,17 @@
   }
 }
 
+double DemandModel::LeastPart() const {
+  double offered = 0;
+  double entered = 0;
+  for (const auto& [name, route] : this->routes) {
+    offered += route.offered_rate;
+    entered += route.entered_rate;
+  }
+  const double all = offered > 0 ? std::min(1.0, entered / offered) : 1.0;
+  return std::max(kLeastPart, kLeastPartOfAll * all);
+}
+
 double DemandModel::Take(const Route& route, double part, Room& room) {
   double most = part;
   for (const auto& [service, need] : route.needs) {
@@ -196,33 +237,18 @@
               return std::pair(left->rank, total_need(*left)) <
                      std::pair(right->rank, total_need(*right));
             });
+  const double least = this->LeastPart();
   std::vector<double> parts;
   for (const Route* route : order) {
-    Take(*route, kLeastPart, room);
-    parts.push_back(kLeastPart);
+    Take(*route, least, room);
+    parts.push_back(least);
   }
   for (std::size_t i = 0; i < order.size(); ++i) {
-    parts[i] += Take(*order[i], 1 - kLeastPart, room);
+    parts[i] += Take(*order[i], 1 - least, room);
     Route& route = *order[i];
     route.part = std::clamp(parts[i], route.part / kFastest - kSmallestStep,
                             route.part * kFastest + kSmallestStep);
-    route.part = std::clamp(route.part, kLeastPart, 1.0);
-  }
-  for (const auto& [n, c] : this->services)
-    std::fprintf(stderr, "DBGS %s slots=%.1f use=%.2f\n", n.c_str(), c.slots,
-                 c.planned_use);
-  for (const auto& [n, r] : this->routes) {
-    std::string t;
-    for (const auto& [sv, h] : r.slots_wanted) {
-      char b[100];
-      const auto nd = r.needs.find(sv);
-      std::snprintf(b, 100, " %s:held=%.1f,need=%.3f", sv.c_str(), h,
-                    nd == r.needs.end() ? 0 : nd->second);
-      t += b;
-    }
-    std::fprintf(stderr, "DBGR %s off=%.1f ent=%.1f part=%.2f rank=%d %s\n",
-                 n.c_str(), r.offered_rate, r.entered_rate, r.part, r.rank,
-                 t.c_str());
+    route.part = std::clamp(route.part, least, 1.0);
   }
 }
 
--- a/packages/core/src/routing/target_selector.cpp
+++ b/packages/core/src/routing/target_selector.cpp
@@ -12,6 +12,22 @@
 // Below this utilisation a target's speed does not depend on its load.
 constexpr double kCalmUtilisation = 0.6;
 
+// A failed request costs its caller this much waiting time at the least. Only
+// the order of targets follows from it: where all of them fail, all get work.
+constexpr double kFailureCostNs = 500e6;
+
+// Single failures do not move requests to another data centre.
+constexpr double kUsualFailingPart = 0.1;
+
+// Part of a target's mean work that counts as cost. A target several times
+// slower than the others is passed over; small differences weigh less than the
+// way to another data centre.
+constexpr double kWorkCostPart = 0.05;
+
+// One choice in this many goes to any target, so that one that was passed over
+// shows whether it has recovered.
+constexpr std::uint64_t kExplorationTurns = 100;
+
 // A cold target's slots count for this part.
 constexpr double kColdCapacity = 0.5;
 
@@ -135,7 +151,10 @@
   }
   const double utilisation = std::min(1.0, present / capacity);
   estimate.cost_ns = static_cast<double>(estimate.wait.count()) +
-                     work_ns * std::max(0.0, utilisation - kCalmUtilisation);
+                     work_ns * std::max(0.0, utilisation - kCalmUtilisation) +
+                     work_ns * kWorkCostPart +
+                     kFailureCostNs * std::max(0.0, entry.load.failing_part -
+                                                        kUsualFailingPart);
   if (entry.target.distance == Distance::kSameDataCentre) {
     estimate.cost_ns += static_cast<double>(kDataCentreCost.count());
   } else if (entry.target.distance == Distance::kOtherDataCentre) {
@@ -154,6 +173,7 @@
   std::optional<Choice> best;
   double best_cost = 0;
   std::size_t candidates = 0;
+  const bool explores = random() % kExplorationTurns == 0;
   for (const std::string& member : members->second) {
     const Entry& entry = this->entries.at(member);
     if (!entry.target.accepts_work || !entry.is_reachable ||
@@ -164,7 +184,9 @@
     const Estimate estimate = EstimateOf(entry, now);
     const double jitter =
         kTieNs * static_cast<double>(random() % 1024) / 1024.0;
-    const double cost = estimate.cost_ns + jitter;
+    const double cost =
+        explores ? jitter + static_cast<double>(estimate.wait.count())
+                 : estimate.cost_ns + jitter;
     if (!best || cost < best_cost) {
       best = Choice{.member = member,
                     .instance = entry.target.instance,
--- a/packages/sidecar/include/lycheewell/sidecar/requests/front.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/front.h
@@ -12,7 +12,6 @@
 #include <unordered_map>
 
 #include "lycheewell/core/overload/demand_model.h"
-#include "lycheewell/core/overload/entry_admission.h"
 #include "lycheewell/core/retry/window_budget.h"
 #include "lycheewell/core/routing/route_table.h"
 #include "lycheewell/core/routing/target_selector.h"
@@ -46,6 +45,9 @@
 
   void Serve(http::ExchangePointer exchange);
 
+  // What the daemon beside a target said about its load.
+  void ReportLoad(const std::string& member, const mesh::Load& load);
+
   // A reply to a call that went to a peer.
   void OnReply(const std::string& member, mesh::Reply& reply);
 
@@ -53,7 +55,6 @@
   void OnLost(const std::string& member);
 
   core::routing::TargetSelector& selector() { return this->targets; }
-  core::overload::EntryAdmission& admission() { return this->entry; }
   core::overload::DemandModel& demand() { return this->demand_model; }
 
   // Queries.
@@ -70,6 +71,8 @@
   std::size_t open_requests() const { return this->open; }
   // When a call of the target beside this daemon last found no slot.
   core::Instant last_starved_call() const { return this->starved_at; }
+  // When a call of that target last failed for any reason.
+  core::Instant last_failed_call() const { return this->call_failed_at; }
 
  private:
   struct Pending;
@@ -91,7 +94,10 @@
               std::string_view reason, core::Duration retry_after);
   void Fail(const PendingPointer& pending, unsigned status,
             std::string_view reason);
+  // Targets' own calls carry no key.
+  static bool IsTargetsCall(const PendingPointer& pending);
   void NoteStarved(const PendingPointer& pending);
+  void NoteFailed(const PendingPointer& pending, unsigned status);
   void Close(const PendingPointer& pending);
   core::retry::WindowBudget& BudgetOf(const std::string& service);
 
@@ -99,10 +105,10 @@
   DecisionLog& log;
   Options options;
   core::routing::TargetSelector targets;
-  core::overload::EntryAdmission entry;
   core::overload::DemandModel demand_model;
   std::map<std::string, Entries> entry_counts;
   core::Instant starved_at;
+  core::Instant call_failed_at;
   std::map<std::string, core::retry::WindowBudget> budgets;
   std::map<std::string, core::routing::WeightedTurns> turns;
   std::unordered_map<std::uint64_t, PendingPointer> remote;  // by call id
--- a/packages/sidecar/include/lycheewell/sidecar/requests/gate.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/gate.h
@@ -16,8 +16,8 @@
 #include <vector>
 
 #include "lycheewell/core/overload/call_tracker.h"
-#include "lycheewell/core/overload/entry_admission.h"
 #include "lycheewell/core/overload/slot_gate.h"
+#include "lycheewell/core/routing/failure_rate.h"
 #include "lycheewell/sidecar/decision_log.h"
 #include "lycheewell/sidecar/hooks.h"
 #include "lycheewell/sidecar/http/client_connection.h"
@@ -82,8 +82,10 @@
     const DialectHooks& dialect;
     // The target's state has changed.
     std::function<void()> on_change;
-    // When a call that the target made was last refused.
+    // When a call that the target made last found no slot.
     std::function<core::Instant()> last_starved_call;
+    // When a call that the target made last failed for any reason.
+    std::function<core::Instant()> last_failed_call;
   };
 
   Gate(boost::asio::io_context& context, TimerQueue& timers, DecisionLog& log,
@@ -119,24 +121,20 @@
   const std::set<std::string>& retired_starts() const { return this->retired; }
   std::size_t running() const { return this->running_calls; }
   bool accepts_work() const;
-  // Time for which slots were held, or wanted in vain.
+  // What the target has done for the requests of one route and their calls,
+  // and the time for which they wanted slots in vain.
   struct OriginWork {
     core::Duration held{};
     core::Duration unmet{};
+    // Runs of clients' requests, and those that were starved.
+    std::uint64_t ended = 0;
+    std::uint64_t starved = 0;
   };
   const std::map<std::string, OriginWork>& work_by_origin() const {
     return this->work_of_origin;
   }
-  // Routes whose runs ended here lately.
-  std::map<std::string, core::overload::RouteOutcomes> RecentOutcomes() const;
 
  private:
-  struct RouteRecord {
-    core::overload::RouteOutcomes outcomes;
-    core::Instant touched_at;
-    core::Duration mean_work{};
-  };
-
   struct Call {
     GateCall request;
     Callback done;
@@ -177,9 +175,10 @@
   TimerQueue::Id expiry = 0;
   core::Instant expiry_at = core::Instant::max();
 
-  std::map<std::string, RouteRecord> outcomes;  // by route
+  std::map<std::string, core::Duration> mean_work;  // by route
   std::map<std::string, OriginWork> work_of_origin;
   core::overload::CallTracker tracker;
+  core::routing::FailureRate failures;
 
   Announcement target;  // newest word of the target
   TargetState state = TargetState::kGone;
--- a/packages/sidecar/src/requests/front.cpp
+++ b/packages/sidecar/src/requests/front.cpp
@@ -21,9 +21,15 @@
 constexpr core::Duration kLeastRetryAfter = std::chrono::milliseconds(100);
 constexpr core::Duration kMostRetryAfter = std::chrono::seconds(2);
 
-// Retry-After of requests whose calls would find no room: the admitted part of
-// a route is judged anew every second.
-constexpr core::Duration kEntryRetryAfter = std::chrono::milliseconds(1500);
+// Retry-After of requests for which there is no room, as a part of the route's
+// latency target: a later return could not be answered within it.
+constexpr double kEntryRetryPart = 0.4;
+constexpr double kNoSlotRetryPart = 0.25;
+
+// The same where the route has no latency target: parts are judged once a
+// second.
+constexpr core::Duration kUsualEntryRetryAfter =
+    std::chrono::milliseconds(1000);
 
 // Other targets asked after refusals that came before the request was sent to
 // a target. Each costs a round trip.
@@ -61,6 +67,13 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
 }
 
+core::Duration PartOfTarget(const Route& route, double part) {
+  const core::Duration target = route.latency_target > core::Duration::zero()
+                                    ? route.latency_target
+                                    : kUsualEntryRetryAfter;
+  return std::chrono::duration_cast<core::Duration>(target * part);
+}
+
 std::string RetryAfterLine(core::Duration wait) {
   const auto milliseconds =
       std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
@@ -103,7 +116,6 @@
     : timers(new_timers),
       log(new_log),
       options(new_options),
-      entry(std::chrono::steady_clock::now()),
       demand_model(std::chrono::steady_clock::now()),
       generator(std::random_device{}()),
       random([this] { return this->generator(); }) {}
@@ -211,7 +223,7 @@
     pending->origin = route.name;
     if (!this->MayEnter(pending)) {
       this->Refuse(pending, 503, "its calls would find no room",
-                   kEntryRetryAfter);
+                   PartOfTarget(route, kEntryRetryPart));
       return;
     }
   } else if (const auto origin = this->OriginOf(pending)) {
@@ -276,7 +288,9 @@
     return;
   }
   if (now + choice->expected_wait > pending->wanted_by) {
-    this->Refuse(pending, 503, kNoSlotExpected, choice->expected_wait);
+    this->Refuse(pending, 503, kNoSlotExpected,
+                 std::max(choice->expected_wait,
+                          PartOfTarget(*pending->route, kNoSlotRetryPart)));
     return;
   }
   this->SendTo(pending, *choice);
@@ -348,14 +362,19 @@
   }
 }
 
-void Front::OnReply(const std::string& member, mesh::Reply& reply) {
-  const core::Instant now = std::chrono::steady_clock::now();
+void Front::ReportLoad(const std::string& member, const mesh::Load& load) {
+  constexpr double kPermille = 1000.0;
   this->targets.Report(
       member,
-      {.running = static_cast<int>(reply.load().running()),
-       .waiting = static_cast<int>(reply.load().waiting()),
-       .mean_work = std::chrono::microseconds(reply.load().mean_work_us())},
-      now);
+      {.running = static_cast<int>(load.running()),
+       .waiting = static_cast<int>(load.waiting()),
+       .mean_work = std::chrono::microseconds(load.mean_work_us()),
+       .failing_part = load.failing_permille() / kPermille},
+      std::chrono::steady_clock::now());
+}
+
+void Front::OnReply(const std::string& member, mesh::Reply& reply) {
+  this->ReportLoad(member, reply.load());
   const auto found = this->remote.find(reply.call_id());
   if (found == this->remote.end()) {
     return;  // given up meanwhile
@@ -413,6 +432,7 @@
     }
     this->options.counters.Count("requests", "answered");
     this->options.counters.Observe("request", now - pending->arrived_at);
+    this->NoteFailed(pending, reply.status);
     const auto exchange = pending->exchange;
     this->Close(pending);
     exchange->Send({.status = reply.status,
@@ -462,7 +482,9 @@
                                                               now, this->random)
                                        : std::nullopt;
   if (!choice || now + choice->expected_wait > pending->wanted_by) {
-    this->Refuse(pending, 503, reply.reason, reply.retry_after);
+    this->Refuse(pending, 503, reply.reason,
+                 std::max(reply.retry_after,
+                          PartOfTarget(*pending->route, kNoSlotRetryPart)));
     return;
   }
   this->log.Write(Event::kCallRepeated, {{"request", pending->request.id},
@@ -505,13 +527,24 @@
   pending->ticket = 0;
 }
 
+bool Front::IsTargetsCall(const PendingPointer& pending) {
+  return pending->account == nullptr && pending->table &&
+         pending->table->has_accounts();
+}
+
 void Front::NoteStarved(const PendingPointer& pending) {
-  // Targets' own calls carry no key.
-  if (pending->account == nullptr && pending->table->has_accounts()) {
+  if (IsTargetsCall(pending)) {
     this->starved_at = std::chrono::steady_clock::now();
   }
 }
 
+void Front::NoteFailed(const PendingPointer& pending, unsigned status) {
+  constexpr unsigned kFirstFailure = 429;
+  if (status >= kFirstFailure && IsTargetsCall(pending)) {
+    this->call_failed_at = std::chrono::steady_clock::now();
+  }
+}
+
 void Front::Refuse(const PendingPointer& pending, unsigned status,
                    std::string_view reason, core::Duration retry_after) {
   const core::Instant now = std::chrono::steady_clock::now();
@@ -536,17 +569,18 @@
          {"after_ms", Text(now - pending->arrived_at)}});
   }
   this->options.counters.Count("requests_refused", reason);
-  if (pending->holds_token) {
-    this->options.accounts.Return(*pending->account);
-  }
   if (reason == kNoSlot || reason == kNoSlotExpected) {
     this->NoteStarved(pending);
   }
+  if (pending->holds_token) {
+    this->options.accounts.Return(*pending->account);
+  }
   std::string lines;
   if (status == kTooMany || status == kUnavailable) {
     lines = RetryAfterLine(
         std::clamp(retry_after, kLeastRetryAfter, kMostRetryAfter));
   }
+  this->NoteFailed(pending, status);
   const auto exchange = pending->exchange;
   this->Close(pending);
   exchange->Send({.status = status, .header_lines = std::move(lines)});
@@ -568,6 +602,7 @@
                    {"after_ms", Text(now - pending->arrived_at)}});
   this->options.counters.Count("requests_failed",
                                status == 504 ? "time limit" : "may have run");
+  this->NoteFailed(pending, status);
   const auto exchange = pending->exchange;
   this->Close(pending);
   exchange->Send({.status = status});
--- a/packages/sidecar/src/requests/gate.cpp
+++ b/packages/sidecar/src/requests/gate.cpp
@@ -37,8 +37,9 @@
 // About this many of a route's last runs make its mean work.
 constexpr int kRouteWorkRuns = 20;
 
-// Routes without an ended run for this long are not reported.
-constexpr core::Duration kOutcomesReportedFor = std::chrono::seconds(5);
+// A request that its caller gave up on has failed at the target if it had run
+// this many times its usual work.
+constexpr int kOverdueWorks = 4;
 
 // Instances remembered as retired.
 constexpr std::size_t kMostRetired = 64;
@@ -236,9 +237,9 @@
 // A service's kinds of requests differ many times in their work, so that the
 // mean over all of them says little about one.
 core::Duration Gate::WorkOf(const std::string& route) const {
-  const auto found = this->outcomes.find(route);
-  return found == this->outcomes.end() ? core::Duration::zero()
-                                       : found->second.mean_work;
+  const auto found = this->mean_work.find(route);
+  return found == this->mean_work.end() ? core::Duration::zero()
+                                        : found->second;
 }
 
 void Gate::LeaveSlot(Ticket ticket, const Call& call, core::Instant now) {
@@ -260,18 +261,25 @@
 
 void Gate::RecordRun(const Call& call, GateReply& reply, core::Instant now) {
   constexpr unsigned kFirstFailure = 500;
-  RouteRecord& record = this->outcomes[call.request.route];
-  record.touched_at = now;
-  ++record.outcomes.ended;
-  if (reply.status < kFirstFailure) {
+  const bool has_failed = reply.status >= kFirstFailure;
+  const bool has_failed_call =
+      this->options.last_failed_call() >= call.started_at;
+  if (!has_failed || !has_failed_call) {
+    this->failures.Record(has_failed, now);
+  }
+  reply.is_starved =
+      has_failed && this->options.last_starved_call() >= call.started_at;
+  if (call.request.origin == call.request.route) {
+    OriginWork& record = this->work_of_origin[call.request.origin];
+    ++record.ended;
+    record.starved += reply.is_starved ? 1 : 0;
+  }
+  if (!has_failed) {
     const core::Duration work = now - call.started_at;
-    record.mean_work =
-        record.mean_work == core::Duration::zero()
-            ? work
-            : record.mean_work + (work - record.mean_work) / kRouteWorkRuns;
-  } else if (this->options.last_starved_call() >= call.started_at) {
-    ++record.outcomes.starved;
-    reply.is_starved = true;
+    core::Duration& mean = this->mean_work[call.request.route];
+    mean = mean == core::Duration::zero()
+               ? work
+               : mean + (work - mean) / kRouteWorkRuns;
   }
 }
 
@@ -292,6 +300,7 @@
     if (answer.has_not_run) {
       reply.reason =
           answer.is_wrong_instance ? "target was replaced" : "target refused";
+      this->failures.Record(!answer.is_wrong_instance, now);
       reply.retry_after = kLeastRetryAfter;
       if (answer.is_wrong_instance &&
           call.request.instance == this->target.instance) {
@@ -318,6 +327,7 @@
                         : Outcome::kMayHaveRun;
     reply.reason = problem.detail;
     reply.retry_after = kLeastRetryAfter;
+    this->failures.Record(true, now);
     this->log.Write(Event::kTargetBroke,
                     {{"request", call.request.request_id},
                      {"instance", call.request.instance},
@@ -410,7 +420,13 @@
   }
   this->timers.Cancel(call.timer);
   call.connection->Abort();
-  this->LeaveSlot(ticket, call, std::chrono::steady_clock::now());
+  const core::Instant now = std::chrono::steady_clock::now();
+  const core::Duration usual = this->WorkOf(call.request.route);
+  if (usual > core::Duration::zero() &&
+      now - call.started_at > usual * kOverdueWorks) {
+    this->failures.Record(true, now);
+  }
+  this->LeaveSlot(ticket, call, now);
   constexpr bool kIsSample = false;
   this->slots.Finish(core::Duration::zero(), kIsSample);
   this->calls.erase(found);
@@ -513,6 +529,7 @@
   }
   if (!is_same_start) {
     this->slots.Forget();
+    this->failures.Forget();
     this->earlier_starts.insert(start_before);
   }
   this->heard_at = now;
@@ -550,23 +567,14 @@
   this->RefuseWaiting("the daemon stops");
 }
 
-std::map<std::string, core::overload::RouteOutcomes> Gate::RecentOutcomes()
-    const {
-  const core::Instant now = std::chrono::steady_clock::now();
-  std::map<std::string, core::overload::RouteOutcomes> recent;
-  for (const auto& [route, record] : this->outcomes) {
-    if (now - record.touched_at < kOutcomesReportedFor) {
-      recent.emplace(route, record.outcomes);
-    }
-  }
-  return recent;
-}
-
 mesh::Load Gate::DescribeLoad() const {
   mesh::Load load;
   load.set_running(static_cast<std::uint32_t>(this->slots.running()));
   load.set_waiting(static_cast<std::uint32_t>(this->slots.waiting()));
   load.set_mean_work_us(Microseconds(this->slots.mean_work()));
+  constexpr double kPermille = 1000.0;
+  load.set_failing_permille(static_cast<std::uint32_t>(
+      kPermille * this->failures.Part(std::chrono::steady_clock::now())));
   return load;
 }
 
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -38,7 +38,7 @@
 constexpr core::Duration kDrainCheckPeriod = std::chrono::milliseconds(50);
 
 // As often as peers report theirs.
-constexpr core::Duration kOwnOutcomesPeriod = std::chrono::seconds(1);
+constexpr core::Duration kOwnDemandPeriod = std::chrono::seconds(1);
 
 // One wait for a newer manifest is this part of the time in which a withdrawn
 // key must stop working: two waits, a question to a peer and the wait of a
@@ -91,7 +91,9 @@
               .dialect = this->options.dialect,
               .on_change = [this] { this->OnTargetChange(); },
               .last_starved_call =
-                  [this] { return this->front.last_starved_call(); }}),
+                  [this] { return this->front.last_starved_call(); },
+              .last_failed_call =
+                  [this] { return this->front.last_failed_call(); }}),
         front(this->timers, this->log,
               {.settings = this->options.settings,
                .dialect = this->options.dialect,
@@ -143,7 +145,7 @@
     this->metrics.Start();
     this->manifest.Start();
     this->mesh.Start();
-    this->ReportOwnOutcomes();
+    this->ReportOwnDemand();
     this->AwaitSignal();
     this->context.run();
     this->log.Write(Event::kStopped, {});
@@ -289,12 +291,7 @@
   }
 
   void ReportLoad(const std::string& member, const mesh::Load& load) {
-    this->front.selector().Report(
-        member,
-        {.running = static_cast<int>(load.running()),
-         .waiting = static_cast<int>(load.waiting()),
-         .mean_work = std::chrono::microseconds(load.mean_work_us())},
-        std::chrono::steady_clock::now());
+    this->front.ReportLoad(member, load);
   }
 
   void OnTargetChange() {
@@ -437,12 +434,6 @@
     const auto age = this->manifest.proof_age();
     pong.set_proof_age_ms(age ? Milliseconds(*age) + 1 : kNeverProven);
     *pong.mutable_load() = this->gate.DescribeLoad();
-    for (const auto& [route, outcomes] : this->gate.RecentOutcomes()) {
-      mesh::RouteOutcomes& reported = *pong.add_outcomes();
-      reported.set_route(route);
-      reported.set_ended(outcomes.ended);
-      reported.set_starved(outcomes.starved);
-    }
     const core::Instant now = std::chrono::steady_clock::now();
     for (const auto& [route, demand] : this->RefreshDemand(now)) {
       if (now - demand.changed_at < kDemandReportedFor) {
@@ -452,6 +443,8 @@
         reported.set_entered(demand.counts.entered);
         reported.set_work_us(Microseconds(demand.counts.work));
         reported.set_unmet_us(Microseconds(demand.counts.unmet));
+        reported.set_ended(demand.counts.ended);
+        reported.set_starved(demand.counts.starved);
       }
     }
     link->Send(frame);
@@ -471,6 +464,8 @@
     for (const auto& [route, work] : this->gate.work_by_origin()) {
       counts[route].work = work.held;
       counts[route].unmet = work.unmet;
+      counts[route].ended = work.ended;
+      counts[route].starved = work.starved;
     }
     for (const auto& [route, count] : counts) {
       OwnDemand& own = this->own_demand[route];
@@ -483,20 +478,18 @@
 
   void OnPong(const links::LinkPointer& link, const mesh::Pong& pong) {
     this->ReportLoad(link->member, pong.load());
-    for (const mesh::RouteOutcomes& reported : pong.outcomes()) {
-      this->front.admission().Report(
-          link->member, reported.route(),
-          {.ended = reported.ended(), .starved = reported.starved()});
-    }
     const std::string service = this->front.selector().ServiceOf(link->member);
+    std::map<std::string, core::overload::RouteDemand> demand;
     for (const mesh::RouteDemand& reported : pong.demand()) {
-      this->front.demand().Report(
-          link->member, service, reported.route(),
-          {.offered = reported.offered(),
-           .entered = reported.entered(),
-           .work = std::chrono::microseconds(reported.work_us()),
-           .unmet = std::chrono::microseconds(reported.unmet_us())});
+      demand[reported.route()] = {
+          .offered = reported.offered(),
+          .entered = reported.entered(),
+          .work = std::chrono::microseconds(reported.work_us()),
+          .unmet = std::chrono::microseconds(reported.unmet_us()),
+          .ended = reported.ended(),
+          .starved = reported.starved()};
     }
+    this->front.demand().Report(link->member, service, demand);
     if (pong.manifest_version() > this->manifest.version()) {
       this->AskForManifest(link->member);
     }
@@ -568,19 +561,15 @@
   }
 
   // The target beside this daemon counts like those of peers.
-  void ReportOwnOutcomes() {
-    for (const auto& [route, outcomes] : this->gate.RecentOutcomes()) {
-      this->front.admission().Report(this->options.settings.name, route,
-                                     outcomes);
-    }
+  void ReportOwnDemand() {
+    std::map<std::string, core::overload::RouteDemand> own;
     for (const auto& [route, demand] :
          this->RefreshDemand(std::chrono::steady_clock::now())) {
-      this->front.demand().Report(this->options.settings.name,
-                                  this->options.settings.target_service, route,
-                                  demand.counts);
+      own[route] = demand.counts;
     }
-    this->timers.After(kOwnOutcomesPeriod,
-                       [this] { this->ReportOwnOutcomes(); });
+    this->front.demand().Report(this->options.settings.name,
+                                this->options.settings.target_service, own);
+    this->timers.After(kOwnDemandPeriod, [this] { this->ReportOwnDemand(); });
   }
 
   void AwaitSignal() {
--- a/tests/core/demand_model_test.cpp
+++ b/tests/core/demand_model_test.cpp
@@ -52,7 +52,9 @@
 class Graph {
  public:
   explicit Graph(std::map<std::string, Kind> new_kinds)
-      : kinds(std::move(new_kinds)) {}
+      : kinds(std::move(new_kinds)) {
+    this->model.Report("gate", "deep", {});
+  }
 
   void PlaySecond(double slots) {
     ++this->second;
@@ -71,6 +73,7 @@
     }
     const double call_part = CallPart(needed / slots);
     const double made = PartOfCallsMade(call_part);
+    std::map<std::string, RouteDemand> reported;
     for (auto& [name, kind] : this->kinds) {
       const double chance = kind.deep_ms > 0 ? std::pow(call_part, kCalls) : 1;
       kind.served += entered[name] * chance;
@@ -84,8 +87,13 @@
           call_part * std::chrono::duration<double>(wanted));
       kind.counts.work += held;
       kind.counts.unmet += wanted - held;
-      this->model.Report("gate", "deep", name, kind.counts);
+      const auto ended = static_cast<std::uint64_t>(entered[name]);
+      kind.counts.ended += ended;
+      kind.counts.starved += ended - static_cast<std::uint64_t>(
+                                         std::lround(entered[name] * chance));
+      reported[name] = kind.counts;
     }
+    this->model.Report("gate", "deep", reported);
   }
 
   void Play(int seconds, double slots) {
@@ -160,6 +168,33 @@
   }
 }
 
+// The pattern of a deep service that loses two thirds of its targets: without
+// admission at the entry, 200 requests a second with several calls each get
+// half of their calls and 1 in 16 succeeds.
+TEST_CASE("Requests that would find no room downstream do not enter",
+          "[core][overload][load]") {
+  constexpr int kSeconds = 30;
+  constexpr double kSlots = 100;  // 100 requests a second fit
+  Graph graph({{"low", {.rank = 2, .per_second = 100, .deep_ms = 1000}},
+               {"high", {.rank = 0, .per_second = 100, .deep_ms = 1000}}});
+  graph.Play(kSeconds, kSlots);
+
+  SECTION("so that several times as many are served as without") {
+    CHECK(graph.ServedPartOfAll() > 4.0 / 16);
+  }
+  SECTION("the more important ones at least as often") {
+    CHECK(graph.ServedPart("high") >= graph.ServedPart("low"));
+  }
+  SECTION("and the less important ones do not starve") {
+    CHECK(graph.ServedPart("low") * 4 >= graph.ServedPartOfAll());
+  }
+  SECTION("and all enter again once there is room") {
+    graph.Play(10, 2500);
+    CHECK(graph.demand().admitted_part("low") == 1);
+    CHECK(graph.demand().admitted_part("high") == 1);
+  }
+}
+
 TEST_CASE("Nothing is refused while there is room", "[core][overload]") {
   Graph graph = Entries();
   graph.Play(20, 900);
@@ -171,14 +206,31 @@
 
 TEST_CASE("Counts begin anew when a daemon restarts", "[core][overload]") {
   DemandModel model(kStart);
-  model.Report("a", "s", "r", {.offered = 900, .entered = 900});
-  model.Report("a", "s", "r",
-               {.offered = 50, .entered = 50, .work = milliseconds(500)});
-  model.SetSlots({{"s", 100}});
-  model.Judge(kStart + milliseconds(1000));
-  model.Report("a", "s", "r",
-               {.offered = 100, .entered = 100, .work = milliseconds(1000)});
-  model.Judge(kStart + milliseconds(2000));
-  CHECK(model.admitted_part("r") == 1);
-  CHECK(model.NeedOf("r", "s") < 0.02);
+  model.SetSlots({{"s", 10}});
+  const auto report = [&](std::uint64_t count) {
+    model.Report("a", "s",
+                 {{"r",
+                   {.offered = count,
+                    .entered = count,
+                    .work = count * milliseconds(20)}}});
+  };
+
+  SECTION("the other one or this one") {
+    // 90,000 requests before the first report are not those of a second.
+    report(90'000);
+    model.Judge(kStart + milliseconds(1000));
+    report(90'100);
+    model.Judge(kStart + milliseconds(2000));
+    CHECK(model.admitted_part("r") == 1);
+    report(100);
+    model.Judge(kStart + milliseconds(3000));
+    CHECK(model.admitted_part("r") == 1);
+    CHECK(model.NeedOf("r", "s") == Approx(0.02).epsilon(0.01));
+  }
+  SECTION("and a route that begins after the first report counts at once") {
+    model.Report("a", "s", {});
+    report(1000);
+    model.Judge(kStart + milliseconds(1000));
+    CHECK(model.admitted_part("r") < 1);
+  }
 }
--- a/tests/core/sidecar_routing_test.cpp
+++ b/tests/core/sidecar_routing_test.cpp
@@ -2,6 +2,7 @@
 #include <map>
 #include <random>
 
+#include "lycheewell/core/routing/failure_rate.h"
 #include "lycheewell/core/routing/route_table.h"
 #include "lycheewell/core/routing/target_selector.h"
 
@@ -73,6 +74,76 @@
   }
 }
 
+// The pattern of a target that fails part of its requests at once although it
+// says that it is well: without a judgement of its outcomes it seems idle and
+// draws requests.
+TEST_CASE("A failing target gets few requests while others have room",
+          "[core][routing][load]") {
+  const Instant now = Instant() + std::chrono::hours(1);
+  RandomSource random = Seeded(4);
+  TargetSelector selector;
+  const auto put = [&](const std::string& member, double failing_part,
+                       milliseconds work) {
+    selector.Put(member,
+                 {.instance = member + "-1", .service = "s", .slots = 50}, now);
+    selector.Report(
+        member,
+        {.running = 10, .mean_work = work, .failing_part = failing_part}, now);
+  };
+  const auto part_of = [&](const std::string& member) {
+    int chosen = 0;
+    for (int i = 0; i < 1000; ++i) {
+      chosen += selector.Choose("s", {}, now, random)->member == member ? 1 : 0;
+    }
+    return chosen / 1000.0;
+  };
+  put("well-a", 0.002, milliseconds(50));
+  put("well-b", 0.004, milliseconds(60));
+
+  SECTION("one that answers with errors") {
+    put("grey", 0.4, milliseconds(5));
+    CHECK(part_of("grey") < 0.05);
+  }
+  SECTION("one that is several times slower") {
+    put("grey", 0, milliseconds(400));
+    CHECK(part_of("grey") < 0.05);
+
+    SECTION("and it is still tried now and then") {
+      CHECK(part_of("grey") > 0);
+    }
+  }
+  SECTION("and where all fail alike, all get requests") {
+    put("well-a", 0.5, milliseconds(50));
+    put("well-b", 0.5, milliseconds(50));
+    put("grey", 0.5, milliseconds(50));
+    CHECK(part_of("well-a") > 0.2);
+    CHECK(part_of("grey") > 0.2);
+  }
+}
+
+TEST_CASE("A target's failures fade", "[core][routing]") {
+  const Instant now = Instant() + std::chrono::hours(1);
+  FailureRate failures;
+  for (int i = 0; i < 40; ++i) {
+    failures.Record(i % 2 == 0, now);
+  }
+  CHECK(failures.Part(now) == Approx(0.5).margin(0.1));
+
+  SECTION("with good runs") {
+    for (int i = 0; i < 60; ++i) {
+      failures.Record(false, now);
+    }
+    CHECK(failures.Part(now) < 0.05);
+  }
+  SECTION("or while it gets no requests") {
+    CHECK(failures.Part(now + std::chrono::seconds(10)) < 0.05);
+  }
+  SECTION("or at once when it is replaced") {
+    failures.Forget();
+    CHECK(failures.Part(now) == 0);
+  }
+}
+
 TEST_CASE("A target is chosen by its expected wait", "[core][routing]") {
   const Instant now = Instant() + std::chrono::hours(1);
   RandomSource random = Seeded(1);
