--- a/packages/core/include/lycheewell/core/overload/demand_model.h
+++ b/packages/core/include/lycheewell/core/overload/demand_model.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "lycheewell/core/types.h"
 
@@ -68,6 +69,20 @@
 
   // Queries.
 
+  // What a route's part was worked out from, for the log.
+  struct Judgement {
+    std::string route;
+    double part = 1;
+    double offered_rate = 0;  // a second, over the fleet
+    double entered_rate = 0;
+    std::string scarce_service;  // it has the least room for what is offered
+    double scarce_use = 0;       // slots that all routes want, of those it has
+    double need = 0;             // slots for one request a second of the route
+
+    bool operator==(const Judgement&) const = default;
+  };
+  std::vector<Judgement> Judgements() const;
+
   // The part of the route's requests that enters.
   double admitted_part(std::string_view route) const;
 
--- a/packages/core/include/lycheewell/core/routing/target_selector.h
+++ b/packages/core/include/lycheewell/core/routing/target_selector.h
@@ -102,7 +102,10 @@
   };
 
   static double CapacityOf(const Entry& entry, Instant now);
-  static Estimate EstimateOf(const Entry& entry, Instant now);
+  static Estimate EstimateOf(const Entry& entry, double fastest_ns,
+                             Instant now);
+  // The least mean work of the members' targets, or a huge one.
+  double FastestWork(const std::set<std::string>& members) const;
 
   std::map<std::string, Entry> entries;
   std::map<std::string, std::set<std::string>, std::less<>> by_service;
--- a/packages/core/src/overload/demand_model.cpp
+++ b/packages/core/src/overload/demand_model.cpp
@@ -19,11 +19,11 @@
 // wait for a moment, and what is known of needs and slots is never exact.
 constexpr double kFirstPlannedUse = 0.97;
 constexpr double kLeastPlannedUse = 0.85;
-constexpr double kMostPlannedUse = 1.1;
+constexpr double kMostPlannedUse = 1.3;
 constexpr double kUnmetWithRoom = 0.005;
-constexpr double kUnmetWithoutRoom = 0.02;
-constexpr double kRaisePlannedUse = 1.08;
-constexpr double kLowerPlannedUse = 0.95;
+constexpr double kUnmetWithoutRoom = 0.015;
+constexpr double kRaisePlannedUse = 1.04;
+constexpr double kLowerPlannedUse = 0.93;
 
 // Every route enters at least with this part of the part of all requests that
 // enters: no kind of request is to be served less than a quarter as often as
@@ -34,14 +34,15 @@
 // Below this rate the need of a route is not known well enough.
 constexpr double kLeastRate = 0.5;
 
-// Needs fall by at most this factor in a judgement, and not at all while more
-// than this part of the route's requests are starved: what fails early for
+// Needs fall by at most this factor in a judgement, and by the second one while
+// more than this part of the route's requests are starved: what fails early for
 // lack of room has not shown what it needs.
-constexpr double kSlowestFall = 0.85;
+constexpr double kSlowestFall = 0.6;
+constexpr double kSlowestFallStarved = 0.93;
 constexpr double kFewStarved = 0.05;
 
 // A starved request is taken to have done this part of its work.
-constexpr double kWorkOfStarved = 0.15;
+constexpr double kWorkOfStarved = 0.3;
 
 // A part moves at most by this factor and step in one judgement, up or down.
 constexpr double kFastest = 2.0;
@@ -118,7 +119,8 @@
   const double seen = route.slots_wanted[service] / route.entered_rate /
                       (1 - starving * (1 - kWorkOfStarved));
   double& need = route.needs[service];
-  need = std::max(seen, starving > kFewStarved ? need : need * kSlowestFall);
+  need = std::max(seen, need * (starving > kFewStarved ? kSlowestFallStarved
+                                                       : kSlowestFall));
 }
 
 void DemandModel::AdjustPlannedUse() {
@@ -270,6 +272,35 @@
   return true;
 }
 
+std::vector<DemandModel::Judgement> DemandModel::Judgements() const {
+  std::map<std::string_view, double> wanted;
+  for (const auto& [name, route] : this->routes) {
+    for (const auto& [service, need] : route.needs) {
+      wanted[service] += need * route.offered_rate;
+    }
+  }
+  std::vector<Judgement> judgements;
+  for (const auto& [name, route] : this->routes) {
+    Judgement judgement{.route = name,
+                        .part = route.part,
+                        .offered_rate = route.offered_rate,
+                        .entered_rate = route.entered_rate};
+    for (const auto& [service, need] : route.needs) {
+      const auto found = this->services.find(service);
+      const double slots =
+          found == this->services.end() ? 0 : found->second.slots;
+      const double use = slots > 0 ? wanted[service] / slots : 0;
+      if (use > judgement.scarce_use && need > 0) {
+        judgement.scarce_service = service;
+        judgement.scarce_use = use;
+        judgement.need = need;
+      }
+    }
+    judgements.push_back(std::move(judgement));
+  }
+  return judgements;
+}
+
 double DemandModel::admitted_part(std::string_view route) const {
   const auto found = this->routes.find(route);
   return found == this->routes.end() ? 1.0 : found->second.part;
--- a/packages/core/src/routing/target_selector.cpp
+++ b/packages/core/src/routing/target_selector.cpp
@@ -19,10 +19,10 @@
 // Single failures do not move requests to another data centre.
 constexpr double kUsualFailingPart = 0.1;
 
-// Part of a target's mean work that counts as cost. A target several times
-// slower than the others is passed over; small differences weigh less than the
-// way to another data centre.
-constexpr double kWorkCostPart = 0.05;
+// A target whose mean work is more than this many times that of the fastest one
+// is out of order; what lies beyond counts as cost. Usual differences in speed
+// are not worth the way to another data centre.
+constexpr double kUsualSlowness = 4.0;
 
 // One choice in this many goes to any target, so that one that was passed over
 // shows whether it has recovered.
@@ -131,6 +131,7 @@
 }
 
 TargetSelector::Estimate TargetSelector::EstimateOf(const Entry& entry,
+                                                    double fastest_ns,
                                                     Instant now) {
   const double capacity = CapacityOf(entry, now);
   const int reported = entry.load.running + entry.load.waiting;
@@ -152,7 +153,7 @@
   const double utilisation = std::min(1.0, present / capacity);
   estimate.cost_ns = static_cast<double>(estimate.wait.count()) +
                      work_ns * std::max(0.0, utilisation - kCalmUtilisation) +
-                     work_ns * kWorkCostPart +
+                     std::max(0.0, work_ns - kUsualSlowness * fastest_ns) +
                      kFailureCostNs * std::max(0.0, entry.load.failing_part -
                                                         kUsualFailingPart);
   if (entry.target.distance == Distance::kSameDataCentre) {
@@ -163,6 +164,17 @@
   return estimate;
 }
 
+double TargetSelector::FastestWork(const std::set<std::string>& members) const {
+  Duration fastest = Duration::max();
+  for (const std::string& member : members) {
+    const Entry& entry = this->entries.at(member);
+    if (entry.target.accepts_work && entry.load.mean_work > Duration::zero()) {
+      fastest = std::min(fastest, entry.load.mean_work);
+    }
+  }
+  return static_cast<double>(fastest.count());
+}
+
 std::optional<Choice> TargetSelector::Choose(
     std::string_view service, const std::set<std::string>& excluded,
     Instant now, RandomSource& random) const {
@@ -173,6 +185,7 @@
   std::optional<Choice> best;
   double best_cost = 0;
   std::size_t candidates = 0;
+  const double fastest_ns = this->FastestWork(members->second);
   const bool explores = random() % kExplorationTurns == 0;
   for (const std::string& member : members->second) {
     const Entry& entry = this->entries.at(member);
@@ -181,7 +194,7 @@
       continue;
     }
     ++candidates;
-    const Estimate estimate = EstimateOf(entry, now);
+    const Estimate estimate = EstimateOf(entry, fastest_ns, now);
     const double jitter =
         kTieNs * static_cast<double>(random() % 1024) / 1024.0;
     const double cost =
--- a/packages/daemon/include/lycheewell/daemon/events/event_catalogue.h
+++ b/packages/daemon/include/lycheewell/daemon/events/event_catalogue.h
@@ -36,6 +36,7 @@
   kCallAbandoned = 2105,
   kSlotRefused = 2106,
   kTargetBroke = 2107,
+  kEntryPartChanged = 2108,
 
   kLogUnreachable = 3001,
   kLogReachable = 3002,
--- a/packages/daemon/src/events/event_catalogue.cpp
+++ b/packages/daemon/src/events/event_catalogue.cpp
@@ -28,6 +28,7 @@
       {Event::kCallAbandoned, Level::kInfo, "call-abandoned"},
       {Event::kSlotRefused, Level::kInfo, "slot-refused"},
       {Event::kTargetBroke, Level::kWarn, "target-broke-exchange"},
+      {Event::kEntryPartChanged, Level::kInfo, "entry-part-changed"},
       {Event::kLogUnreachable, Level::kWarn, "log-unreachable"},
       {Event::kLogReachable, Level::kInfo, "log-reachable"},
       {Event::kRecordApplied, Level::kInfo, "record-applied"},
--- a/packages/sidecar/include/lycheewell/sidecar/requests/front.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/front.h
@@ -79,6 +79,8 @@
   using PendingPointer = std::shared_ptr<Pending>;
 
   void Admit(const PendingPointer& pending);
+  // Logs the parts of routes that have changed.
+  void LogParts();
   // The client's request behind a call of the target beside this daemon.
   std::optional<CallOrigin> OriginOf(const PendingPointer& pending);
   // Whether the services downstream have room for a client's request.
@@ -107,6 +109,7 @@
   core::routing::TargetSelector targets;
   core::overload::DemandModel demand_model;
   std::map<std::string, Entries> entry_counts;
+  std::map<std::string, double> logged_parts;  // by route
   core::Instant starved_at;
   core::Instant call_failed_at;
   std::map<std::string, core::retry::WindowBudget> budgets;
--- a/packages/sidecar/src/requests/front.cpp
+++ b/packages/sidecar/src/requests/front.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 
 namespace lycheewell::sidecar::requests {
 using core::manifest::Route;
@@ -46,6 +47,9 @@
 // A later answer than this before the limit cannot reach the client in time.
 constexpr core::Duration kLeastTimeLeft = std::chrono::milliseconds(2);
 
+// A route's part is logged when it has changed by this much.
+constexpr double kLoggedPartChange = 0.1;
+
 // Ranks of clients' requests begin here: calls of requests that already run
 // come before all of them.
 constexpr int kNewRequestRank = 1 << 16;
@@ -183,6 +187,7 @@
   if (this->demand_model.IsDue(now)) {
     this->demand_model.SetSlots(this->targets.SlotsByService(now));
     this->demand_model.Judge(now);
+    this->LogParts();
   }
   Entries& counts = this->entry_counts[route.name];
   ++counts.offered;
@@ -193,6 +198,27 @@
   return true;
 }
 
+void Front::LogParts() {
+  for (const auto& judgement : this->demand_model.Judgements()) {
+    double& logged =
+        this->logged_parts.try_emplace(judgement.route, 1.0).first->second;
+    if (std::abs(judgement.part - logged) < kLoggedPartChange &&
+        (judgement.part < 1 || logged == 1)) {
+      continue;
+    }
+    logged = judgement.part;
+    this->log.Write(
+        Event::kEntryPartChanged,
+        {{"route", judgement.route},
+         {"part", std::to_string(judgement.part)},
+         {"offered_per_s", std::to_string(judgement.offered_rate)},
+         {"entered_per_s", std::to_string(judgement.entered_rate)},
+         {"scarce_service", judgement.scarce_service},
+         {"scarce_use", std::to_string(judgement.scarce_use)},
+         {"slots_per_request_per_s", std::to_string(judgement.need)}});
+  }
+}
+
 void Front::Admit(const PendingPointer& pending) {
   const Route& route = *pending->route;
   // The account's priority goes before the route's.
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -554,7 +554,13 @@
          << this->front.open_requests() << "\nlycheewell_target_running "
          << load.running() << "\nlycheewell_target_waiting " << load.waiting()
          << "\nlycheewell_target_mean_work_seconds "
-         << static_cast<double>(load.mean_work_us()) / 1e6 << "\n";
+         << static_cast<double>(load.mean_work_us()) / 1e6
+         << "\nlycheewell_target_failing_part "
+         << load.failing_permille() / 1000.0 << "\n";
+    for (const auto& judgement : this->front.demand().Judgements()) {
+      text << "lycheewell_entry_part{route=\"" << judgement.route << "\"} "
+           << judgement.part << "\n";
+    }
     exchange->Send({.status = 200,
                     .header_lines = "Content-Type: text/plain\r\n",
                     .body = text.str()});
--- a/tests/platform/adapter_test.cpp
+++ b/tests/platform/adapter_test.cpp
@@ -219,7 +219,8 @@
       {"bounds.grace|json", "\"6s\""},
       {"bounds.retryBudgetRatio|json", "0.2"},
       {"bounds.budgetMinRetries|json", "48"},
-      {"bounds.budgetWindow|json", "\"10s\""}};
+      {"bounds.budgetWindow|json", "\"10s\""},
+      {"bounds.quotaWindow|json", "\"4s\""}};
   for (const auto& [name, value] : values) {
     const std::string placeholder = "{{" + name + "}}";
     const std::size_t at = text.find(placeholder);
@@ -230,6 +231,18 @@
   const auto parsed = sidecar::ParseSettings(text);
   REQUIRE(std::holds_alternative<sidecar::Settings>(parsed));
   CHECK(std::get<sidecar::Settings>(parsed).links_port == 7000);
+  CHECK(std::get<sidecar::Settings>(parsed).bounds.account_window ==
+        std::chrono::seconds(4));
+
+  SECTION("but not with a window of accounts that is too short") {
+    const std::size_t at = text.find("\"4s\"");
+    REQUIRE(at != std::string::npos);
+    text.replace(at, 4, "\"99ms\"");
+    const auto wrong = sidecar::ParseSettings(text);
+    REQUIRE(std::holds_alternative<daemon::settings::Problems>(wrong));
+    CHECK(std::get<daemon::settings::Problems>(wrong).front().path ==
+          "sidecar.bounds.account_window");
+  }
 
   SECTION("and all that is wrong is reported together") {
     const auto wrong = sidecar::ParseSettings(
--- a/tests/sidecar/whole_path_test.cpp
+++ b/tests/sidecar/whole_path_test.cpp
@@ -117,7 +117,7 @@
       if (!body.empty() || waited >= wait_ms) {
         co_return io::http::MakeResponse(
             Status::ok, "application/octet-stream",
-            BigEndian(from, 8) + BigEndian(0, 8) + body);
+            BigEndian(this->EndOf(topic), 8) + BigEndian(0, 8) + body);
       }
       asio::steady_timer timer(co_await asio::this_coro::executor,
                                milliseconds(10));
@@ -125,6 +125,11 @@
     }
   }
 
+  std::uint64_t EndOf(const std::string& topic) {
+    const std::lock_guard lock(this->mutex);
+    return this->topics[topic].records.size();
+  }
+
   std::string Newest(const std::string& topic) {
     namespace base64 = beast::detail::base64;
     const std::lock_guard lock(this->mutex);
