Open a route that is hardly asked for after it was cut

Cause: the judgement left out routes with less than 0.5 requests a second that enter, so that a route cut to 0.05 with 2 requests a second stayed cut for ever. Such routes open by the fastest step now.

--- a/packages/core/src/overload/demand_model.cpp
+++ b/packages/core/src/overload/demand_model.cpp
@@ -223,6 +223,9 @@
   for (auto& [name, route] : this->routes) {
     if (route.entered_rate >= kLeastRate) {
       order.push_back(&route);
+    } else {
+      // Too few requests to matter, and to learn from.
+      route.part = std::min(1.0, route.part * kFastest + kSmallestStep);
     }
   }
   // The most important first; among equals those that need least, so that as
--- a/tests/core/demand_model_test.cpp
+++ b/tests/core/demand_model_test.cpp
@@ -195,6 +195,50 @@
   }
 }
 
+// The pattern of a route that was cut and is hardly asked for, so that nothing
+// new is learnt of what it needs.
+TEST_CASE("A route that was cut opens again when few requests come",
+          "[core][overload]") {
+  DemandModel model(kStart);
+  RouteDemand counts;
+  model.Report("gate", "s", {});
+  model.SetSlots({{"s", 10}});
+  int second = 0;
+  const auto play = [&](int seconds, int offered) {
+    int entered = 0;
+    for (const int end = second + seconds; second < end;) {
+      ++second;
+      entered = 0;
+      for (int i = 0; i < offered; ++i) {
+        entered += model.Admit("r", 0) ? 1 : 0;
+      }
+      counts.offered += static_cast<std::uint64_t>(offered);
+      counts.entered += static_cast<std::uint64_t>(entered);
+      counts.work += entered * milliseconds(200);
+      model.Report("gate", "s", {{"r", counts}});
+      model.Judge(kStart + std::chrono::seconds(second));
+    }
+    return entered;
+  };
+
+  SECTION("after a burst") {
+    CHECK(play(20, 1000) < 500);
+    play(10, 0);
+    CHECK(model.admitted_part("r") == 1);
+    CHECK(play(5, 2) == 2);
+  }
+  SECTION("after a time without any target") {
+    play(10, 10);
+    model.SetSlots({});
+    play(10, 2);
+    CHECK(model.admitted_part("r") < 0.5);
+    model.SetSlots({{"s", 10}});
+    play(10, 2);
+    CHECK(model.admitted_part("r") == 1);
+    CHECK(play(5, 2) == 2);
+  }
+}
+
 TEST_CASE("Nothing is refused while there is room", "[core][overload]") {
   Graph graph = Entries();
   graph.Play(20, 900);
