Correct needs only at services without room; count cold targets in full

Starved reads wait there for runorder, and the correction for starved requests was applied to services before the one without room, too. Cold targets counted twice, as half of their slots and in how long slots are held. Ruled out: account rates (26 refusals), old manifests (9).

The new test failed before (2.27 slots instead of 1).

--- a/packages/core/include/lycheewell/core/overload/demand_model.h
+++ b/packages/core/include/lycheewell/core/overload/demand_model.h
@@ -118,11 +118,12 @@
   struct Service {
     double slots = 0;
     double planned_use = 0;
+    double unmet_part = 0;  // of the wanted work, in the last period
     bool is_short = false;  // more was offered than it has room for
   };
 
   void Average(double seconds);
-  static void LearnNeed(Route& route, const std::string& service);
+  void LearnNeed(Route& route, const std::string& service) const;
   void AdjustPlannedUse();
   Room RoomForRoutes() const;
   void FindShortServices(const Room& room);
--- a/packages/core/include/lycheewell/core/routing/target_selector.h
+++ b/packages/core/include/lycheewell/core/routing/target_selector.h
@@ -78,8 +78,9 @@
   // Service of the member's target; empty when it is not known.
   std::string ServiceOf(const std::string& member) const;
 
-  // Slots of all targets that can get work now, by service.
-  std::map<std::string, double, std::less<>> SlotsByService(Instant now) const;
+  // Slots of all targets that can get work now, by service. Cold targets count
+  // in full: that they are slow shows in how long slots are held.
+  std::map<std::string, double, std::less<>> SlotsByService() const;
 
   // Targets of the service that accept work, reachable or not.
   std::size_t CountOf(std::string_view service) const;
--- a/packages/core/src/overload/demand_model.cpp
+++ b/packages/core/src/overload/demand_model.cpp
@@ -103,17 +103,22 @@
           std::exchange(work, {}) + std::exchange(route.unmet[service], {});
       double& slots = route.slots_wanted[service];
       slots = Averaged(slots, Seconds(wanted) / seconds, weight);
-      LearnNeed(route, service);
+      this->LearnNeed(route, service);
     }
   }
 }
 
-void DemandModel::LearnNeed(Route& route, const std::string& service) {
+void DemandModel::LearnNeed(Route& route, const std::string& service) const {
   if (route.entered_rate < kLeastRate) {
     return;
   }
+  // Starved requests have done their work at services before the one that has
+  // no room, and waited there.
+  const auto known = this->services.find(service);
+  const bool has_no_room = known != this->services.end() &&
+                           known->second.unmet_part > kUnmetWithRoom;
   const double starving =
-      route.ended_rate > 0
+      has_no_room && route.ended_rate > 0
           ? std::clamp(route.starved_rate / route.ended_rate, 0.0, 1.0)
           : 0.0;
   const double seen = route.slots_wanted[service] / route.entered_rate /
@@ -140,11 +145,11 @@
       service.planned_use = kFirstPlannedUse;
     }
     const auto& [wanted, unmet] = sums[name];
-    const double part =
+    service.unmet_part =
         wanted > Duration::zero() ? Seconds(unmet) / Seconds(wanted) : 0;
-    if (part > kUnmetWithoutRoom) {
+    if (service.unmet_part > kUnmetWithoutRoom) {
       service.planned_use *= kLowerPlannedUse;
-    } else if (part < kUnmetWithRoom && service.is_short) {
+    } else if (service.unmet_part < kUnmetWithRoom && service.is_short) {
       service.planned_use *= kRaisePlannedUse;
     }
     service.planned_use =
--- a/packages/core/src/routing/target_selector.cpp
+++ b/packages/core/src/routing/target_selector.cpp
@@ -119,12 +119,12 @@
                                       : found->second.target.service;
 }
 
-std::map<std::string, double, std::less<>> TargetSelector::SlotsByService(
-    Instant now) const {
+std::map<std::string, double, std::less<>> TargetSelector::SlotsByService()
+    const {
   std::map<std::string, double, std::less<>> slots;
   for (const auto& [member, entry] : this->entries) {
     if (entry.target.accepts_work && entry.is_reachable) {
-      slots[entry.target.service] += CapacityOf(entry, now);
+      slots[entry.target.service] += entry.target.slots;
     }
   }
   return slots;
--- a/packages/sidecar/src/requests/front.cpp
+++ b/packages/sidecar/src/requests/front.cpp
@@ -185,7 +185,7 @@
   const Route& route = *pending->route;
   const core::Instant now = pending->arrived_at;
   if (this->demand_model.IsDue(now)) {
-    this->demand_model.SetSlots(this->targets.SlotsByService(now));
+    this->demand_model.SetSlots(this->targets.SlotsByService());
     this->demand_model.Judge(now);
     this->LogParts();
   }
--- a/tests/core/demand_model_test.cpp
+++ b/tests/core/demand_model_test.cpp
@@ -195,6 +195,34 @@
   }
 }
 
+// The pattern of bpstu-entries trouble-1 after the loss of power: reads wait at
+// their own service for calls to a deep one that has no room. Only the deep one
+// is short.
+TEST_CASE("A service whose requests wait for another one is not short itself",
+          "[core][overload][load]") {
+  DemandModel model(kStart);
+  model.Report("upper gate", "upper", {});
+  model.Report("deep gate", "deep", {});
+  model.SetSlots({{"upper", 200}, {"deep", 20}});
+  RouteDemand upper;
+  RouteDemand deep;
+  for (int second = 1; second <= 5; ++second) {
+    upper.offered += 100;
+    upper.entered += 100;
+    // Each holds its slot for a second until it gives up.
+    upper.work += 100 * milliseconds(1000);
+    upper.ended += 100;
+    upper.starved += 80;
+    deep.work += 20 * milliseconds(1000);
+    deep.unmet += 10 * milliseconds(1000);
+    model.Report("upper gate", "upper", {{"read", upper}});
+    model.Report("deep gate", "deep", {{"read", deep}});
+    model.Judge(kStart + std::chrono::seconds(second));
+  }
+  CHECK(model.NeedOf("read", "upper") == Approx(1.0).epsilon(0.05));
+  CHECK(model.NeedOf("read", "deep") > 0.3 * 2);
+}
+
 // The pattern of a route that was cut and is hardly asked for, so that nothing
 // new is learnt of what it needs.
 TEST_CASE("A route that was cut opens again when few requests come",
