--- a/packages/core/include/lycheewell/core/manifest/manifest.h
+++ b/packages/core/include/lycheewell/core/manifest/manifest.h
@@ -26,6 +26,7 @@
   std::string host;
   std::string path_prefix;  // begins and ends with a slash
   bool is_idempotent = false;
+  bool has_large_bodies = false;  // requests upload files
   bool allows_anonymous = false;  // served without a client account's key
   Duration timeout{};             // zero: no timeout
   Duration latency_target{};      // zero: none
--- a/packages/core/include/lycheewell/core/overload/demand_model.h
+++ b/packages/core/include/lycheewell/core/overload/demand_model.h
@@ -28,9 +28,15 @@
   std::uint64_t ended = 0;
   std::uint64_t starved = 0;
 
+  RouteDemand& operator+=(const RouteDemand& other);
   bool operator==(const RouteDemand&) const = default;
 };
 
+// What a source has counted since `previous`. Lower counts than before mean
+// that it has restarted and counts from 0.
+RouteDemand IncreaseSince(const RouteDemand& previous,
+                          const RouteDemand& current);
+
 // The route of work that cannot be attributed to a client request.
 inline constexpr std::string_view kUnknownRoute;
 
--- a/packages/core/include/lycheewell/core/rate/fleet_tokens.h
+++ b/packages/core/include/lycheewell/core/rate/fleet_tokens.h
@@ -91,6 +91,8 @@
 // not yet spent.
 class LocalTokenPool {
  public:
+  static constexpr Duration kGrantLifetime = std::chrono::milliseconds(500);
+
   explicit LocalTokenPool(Instant now);
 
   // Commands.
@@ -103,8 +105,10 @@
   void Return(Instant now);
 
   // Adds the `granted` tokens with which the owner answered a request for
-  // `requested` tokens.
-  void AddGrant(int granted, int requested, Instant now);
+  // `requested` tokens that was sent at `requested_at`. They can be spent for
+  // kGrantLifetime from then on, so that they count in the window for which the
+  // owner granted them.
+  void AddGrant(int granted, int requested, Instant requested_at, Instant now);
 
   // Takes a token from the fallback bucket, which has one `daemon_count`th of
   // the rate and the burst. For use when the owner does not answer.
@@ -121,7 +125,14 @@
   bool IsExhausted(Instant now) const { return now < this->exhausted_until; }
 
  private:
-  int balance = 0;
+  // Tokens of one answer of the owner.
+  struct Granted {
+    int tokens = 0;
+    Instant expires_at;
+  };
+
+  std::deque<Granted> grants;  // oldest first
+  int balance = 0;             // tokens of all grants
   int returned = 0;
   Instant returned_since;
   double demand_per_second = 0;
--- a/packages/core/include/lycheewell/core/routing/target_selector.h
+++ b/packages/core/include/lycheewell/core/routing/target_selector.h
@@ -63,6 +63,10 @@
   // The target of an unreachable member is not chosen.
   void SetReachable(const std::string& member, bool is_reachable);
 
+  // Time that a request and its answer currently lose on the way to the member
+  // and back; zero when it is negligible.
+  void SetPathDelay(const std::string& member, Duration delay);
+
   // A request sent to the member's target counts as outstanding until
   // RecordDone.
   void RecordSent(const std::string& member);
@@ -74,10 +78,12 @@
 
   // Queries.
 
-  // The target with the lowest expected cost among those not in `excluded`.
+  // The target with the lowest expected cost among those not in `excluded`, for
+  // a request with a body of `body_bytes`.
   std::optional<Choice> Choose(std::string_view service,
                                const std::set<std::string>& excluded,
-                               Instant now, RandomSource& random) const;
+                               Instant now, RandomSource& random,
+                               std::size_t body_bytes = 0) const;
 
   // Service of the member's target; empty when the member is unknown.
   std::string ServiceOf(const std::string& member) const;
@@ -99,6 +105,7 @@
     int sent_since_report = 0;
     Instant refused_at;
     Duration refused_wait{};
+    Duration path_delay{};
   };
 
   struct Estimate {
--- a/packages/core/src/overload/demand_model.cpp
+++ b/packages/core/src/overload/demand_model.cpp
@@ -69,25 +69,46 @@
 
 }  // namespace
 
+RouteDemand& RouteDemand::operator+=(const RouteDemand& other) {
+  this->offered += other.offered;
+  this->entered += other.entered;
+  this->work += other.work;
+  this->unmet += other.unmet;
+  this->ended += other.ended;
+  this->starved += other.starved;
+  return *this;
+}
+
+RouteDemand IncreaseSince(const RouteDemand& previous,
+                          const RouteDemand& current) {
+  if (current.offered < previous.offered ||
+      current.entered < previous.entered || current.work < previous.work ||
+      current.unmet < previous.unmet || current.ended < previous.ended ||
+      current.starved < previous.starved) {
+    return current;
+  }
+  return {.offered = current.offered - previous.offered,
+          .entered = current.entered - previous.entered,
+          .work = current.work - previous.work,
+          .unmet = current.unmet - previous.unmet,
+          .ended = current.ended - previous.ended,
+          .starved = current.starved - previous.starved};
+}
+
 void DemandModel::Report(const std::string& source, const std::string& service,
                          const std::map<std::string, RouteDemand>& counts) {
   const auto [source_counts, is_first] = this->last_counts.try_emplace(source);
   for (const auto& [name, current] : counts) {
     RouteDemand& previous = source_counts->second[name];
     if (!is_first) {
-      if (current.offered < previous.offered ||
-          current.entered < previous.entered || current.work < previous.work ||
-          current.unmet < previous.unmet || current.ended < previous.ended ||
-          current.starved < previous.starved) {
-        previous = {};  // the source has restarted and counts from 0
-      }
+      const RouteDemand increase = IncreaseSince(previous, current);
       Route& route = this->routes[name];
-      route.offered += current.offered - previous.offered;
-      route.entered += current.entered - previous.entered;
-      route.ended += current.ended - previous.ended;
-      route.starved += current.starved - previous.starved;
-      route.work[service] += current.work - previous.work;
-      route.unmet[service] += current.unmet - previous.unmet;
+      route.offered += increase.offered;
+      route.entered += increase.entered;
+      route.ended += increase.ended;
+      route.starved += increase.starved;
+      route.work[service] += increase.work;
+      route.unmet[service] += increase.unmet;
     }
     previous = current;
   }
--- a/packages/core/src/rate/fleet_tokens.cpp
+++ b/packages/core/src/rate/fleet_tokens.cpp
@@ -149,9 +149,15 @@
     --this->returned;
     return true;
   }
-  if (this->balance <= 0) {
+  while (!this->grants.empty() && (this->grants.front().tokens == 0 ||
+                                   now >= this->grants.front().expires_at)) {
+    this->balance -= this->grants.front().tokens;
+    this->grants.pop_front();
+  }
+  if (this->grants.empty()) {
     return false;
   }
+  --this->grants.front().tokens;
   --this->balance;
   return true;
 }
@@ -164,7 +170,10 @@
   ++this->returned;
 }
 
-void LocalTokenPool::AddGrant(int granted, int requested, Instant now) {
+void LocalTokenPool::AddGrant(int granted, int requested, Instant requested_at,
+                              Instant now) {
+  this->grants.push_back(
+      {.tokens = granted, .expires_at = requested_at + kGrantLifetime});
   this->balance += granted;
   if (granted == 0 && requested > 0) {
     this->exhausted_until = now + kExhaustedBackoff;
--- a/packages/core/src/routing/target_selector.cpp
+++ b/packages/core/src/routing/target_selector.cpp
@@ -9,6 +9,10 @@
 constexpr Duration kSameDataCentreCost = std::chrono::milliseconds(2);
 constexpr Duration kOtherDataCentreCost = std::chrono::milliseconds(5);
 
+// Transfer time of a byte of a body between data centres, at the rate that a
+// busy link leaves for one request (2.5 MB/s).
+constexpr double kOtherDataCentreNsPerByte = 400;
+
 // Up to this utilization a target's speed does not depend on its load.
 constexpr double kMaxUncontendedUtilization = 0.6;
 
@@ -54,7 +58,10 @@
   if (entry.target.instance != target.instance) {
     const int outstanding = entry.outstanding;
     const bool is_reachable = entry.is_reachable;
-    entry = Entry{.is_reachable = is_reachable, .outstanding = outstanding};
+    const Duration path_delay = entry.path_delay;
+    entry = Entry{.is_reachable = is_reachable,
+                  .outstanding = outstanding,
+                  .path_delay = path_delay};
     entry.reported_at = now;
   }
   entry.target = target;
@@ -86,6 +93,13 @@
   this->entries[member].is_reachable = is_reachable;
 }
 
+void TargetSelector::SetPathDelay(const std::string& member, Duration delay) {
+  const auto found = this->entries.find(member);
+  if (found != this->entries.end()) {
+    found->second.path_delay = delay;
+  }
+}
+
 void TargetSelector::RecordSent(const std::string& member) {
   Entry& entry = this->entries[member];
   ++entry.outstanding;
@@ -151,6 +165,7 @@
   if (now - entry.refused_at < kRefusalLifetime) {
     estimate.wait = std::max(estimate.wait, entry.refused_wait);
   }
+  estimate.wait += entry.path_delay;
   const double utilization = std::min(1.0, requests_at_target / capacity);
   estimate.cost_ns =
       static_cast<double>(estimate.wait.count()) +
@@ -180,7 +195,7 @@
 
 std::optional<Choice> TargetSelector::Choose(
     std::string_view service, const std::set<std::string>& excluded,
-    Instant now, RandomSource& random) const {
+    Instant now, RandomSource& random, std::size_t body_bytes) const {
   const auto members = this->members_by_service.find(service);
   if (members == this->members_by_service.end()) {
     return std::nullopt;
@@ -198,11 +213,15 @@
     }
     ++candidates;
     const Estimate estimate = EstimateOf(entry, lowest_mean_work_ns, now);
+    const double transfer_ns =
+        entry.target.distance == Distance::kOtherDataCentre
+            ? kOtherDataCentreNsPerByte * static_cast<double>(body_bytes)
+            : 0.0;
     const double jitter =
         kMaxJitterNs * static_cast<double>(random() % 1024) / 1024.0;
     const double cost =
         is_exploring ? jitter + static_cast<double>(estimate.wait.count())
-                     : estimate.cost_ns + jitter;
+                     : estimate.cost_ns + transfer_ns + jitter;
     if (!best || cost < best_cost) {
       best = Choice{.member = member,
                     .instance = entry.target.instance,
--- a/packages/daemon/include/lycheewell/daemon/events/event_catalogue.h
+++ b/packages/daemon/include/lycheewell/daemon/events/event_catalogue.h
@@ -37,6 +37,8 @@
   kSlotRefused = 2106,
   kTargetBroke = 2107,
   kEntryPartChanged = 2108,
+  kCallHeldBack = 2109,
+  kCallArrivedLate = 2110,
 
   kLogUnreachable = 3001,
   kLogReachable = 3002,
--- a/packages/daemon/src/events/event_catalogue.cpp
+++ b/packages/daemon/src/events/event_catalogue.cpp
@@ -29,6 +29,8 @@
       {Event::kSlotRefused, Level::kInfo, "slot-refused"},
       {Event::kTargetBroke, Level::kWarn, "target-broke-exchange"},
       {Event::kEntryPartChanged, Level::kInfo, "entry-part-changed"},
+      {Event::kCallHeldBack, Level::kWarn, "call-held-back"},
+      {Event::kCallArrivedLate, Level::kInfo, "call-arrived-late"},
       {Event::kLogUnreachable, Level::kWarn, "log-unreachable"},
       {Event::kLogReachable, Level::kInfo, "log-reachable"},
       {Event::kRecordApplied, Level::kInfo, "record-applied"},
--- a/packages/sidecar/include/lycheewell/sidecar/http/client_connection.h
+++ b/packages/sidecar/include/lycheewell/sidecar/http/client_connection.h
@@ -15,9 +15,15 @@
 
 #include "lycheewell/core/types.h"
 #include "lycheewell/io/http/message.h"
+#include "lycheewell/sidecar/http/byte_budget.h"
 
 namespace lycheewell::sidecar::http {
 
+// Limits of one response. A longer one fails the exchange and closes the
+// connection.
+inline constexpr std::uint32_t kMaxResponseHeaderBytes = 64 * 1024;
+inline constexpr std::uint64_t kMaxResponseBodyBytes = 8ULL * 1024 * 1024;
+
 enum class ExchangeFailure {
   kNotSent,  // the request was not sent
   kBroken,  // the request may have arrived, but no complete answer was received
@@ -45,8 +51,11 @@
     std::function<void(ExchangeOutcome)> done;
   };
 
+  // `body_budget` bounds the response bodies of all connections that share it;
+  // null: no bound.
   ClientConnection(boost::asio::io_context& context,
-                   boost::asio::ip::tcp::endpoint endpoint);
+                   boost::asio::ip::tcp::endpoint endpoint,
+                   ByteBudgetPointer body_budget = nullptr);
 
   // Commands.
 
@@ -77,6 +86,8 @@
   void Write();
   void Read();
   void Consume(bool at_end);
+  // Closes the connection if it received bytes that belong to no exchange.
+  void CloseOnStrayBytes();
   void CompleteResponse();
   void Fail(const std::string& detail, bool is_connection_refused = false);
   void CloseSocket();
@@ -89,6 +100,8 @@
   std::shared_ptr<std::string> outgoing;
   std::optional<std::chrono::seconds> idle_timeout;
   core::Instant became_idle_at;
+  BodyAllowance body_allowance;
+  int skipped_responses = 0;  // during the current exchange
   bool connected = false;
   bool closed = false;
   bool sent_any = false;
--- a/packages/sidecar/include/lycheewell/sidecar/http/server.h
+++ b/packages/sidecar/include/lycheewell/sidecar/http/server.h
@@ -12,6 +12,7 @@
 
 #include "lycheewell/core/types.h"
 #include "lycheewell/io/http/message.h"
+#include "lycheewell/sidecar/http/byte_budget.h"
 #include "lycheewell/sidecar/timer_queue.h"
 
 namespace lycheewell::sidecar::http {
@@ -32,7 +33,8 @@
 class ServerExchange {
  public:
   ServerExchange(std::weak_ptr<ServerConnection> connection,
-                 io::http::Request request);
+                 io::http::Request request,
+                 std::unique_ptr<BodyAllowance> body_allowance);
 
   // Commands.
 
@@ -54,6 +56,7 @@
   friend class ServerConnection;
   std::weak_ptr<ServerConnection> connection;
   io::http::Request message;
+  std::unique_ptr<BodyAllowance> body_allowance;
   std::function<void()> on_disconnect;
   bool answered = false;
 };
@@ -76,6 +79,9 @@
   std::function<ServerLimits()> limits;
   // Called for requests that the server rejects without calling the handler.
   std::function<void(unsigned status, std::string_view reason)> on_bad_request;
+  // Bounds the bodies of all requests that have not been answered; null: no
+  // bound.
+  ByteBudgetPointer body_budget;
 };
 
 class Server {
@@ -91,7 +97,8 @@
   // Closes each connection after its next answer.
   void BeginDrain() { this->draining = true; }
 
-  // Stops accepting connections and closes the idle ones.
+  // Serves the connections that the kernel has accepted, stops accepting new
+  // ones and closes those that are idle. May be called again.
   void Close();
 
   // Queries.
@@ -102,6 +109,9 @@
  private:
   friend class ServerConnection;
   void Accept();
+  void AddConnection(boost::asio::ip::tcp::socket socket);
+  // Takes the connections that wait in the kernel's queue.
+  void AcceptQueued();
 
   TimerQueue& timers;
   ServerOptions options;
--- a/packages/sidecar/include/lycheewell/sidecar/links/mesh.h
+++ b/packages/sidecar/include/lycheewell/sidecar/links/mesh.h
@@ -7,6 +7,8 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 #include "lycheewell/sidecar/decision_log.h"
@@ -19,6 +21,8 @@
 
 // A full mesh: every daemon dials every other one. A daemon sends its calls and
 // requests on the link that it dialled and gets the replies on the same link.
+// Members are learnt from the store and from the daemons that dial; where two
+// daemons' digests of the members differ, one asks the other for its list.
 class Mesh {
  public:
   struct Hooks {
@@ -30,14 +34,32 @@
     // `member` became reachable or unreachable.
     std::function<void(const std::string& member, bool is_reachable)>
         on_reachable;
-    // The dialled link to `member` closed; requests pending on it get no reply.
-    std::function<void(const std::string& member)> on_dialled_closed;
+    // Link `link_id`, dialled to `member`, closed; requests pending on it get
+    // no reply.
+    std::function<void(const std::string& member, std::uint64_t link_id)>
+        on_dialled_closed;
+    // Nothing has come on the link for a long time. It stays open while calls
+    // that must not be repeated wait for their replies; `member` is dialled
+    // again for new calls.
+    std::function<void(const std::string& member, std::uint64_t link_id)>
+        on_silent;
+    // Whether calls that must not be repeated wait for replies on the link.
+    std::function<bool(std::uint64_t link_id)> has_unrepeatable_calls;
+    // Call `call_id` could not be sent for too long. It has been taken back: it
+    // has not run and never will.
+    std::function<void(std::uint64_t call_id, core::Duration held_for)>
+        on_held_back;
     // A link that a peer dialled closed; its calls need no reply.
     std::function<void(const LinkPointer&)> on_accepted_closed;
+    // Time that a call and its reply currently lose on the way to `member` and
+    // back; zero when it is negligible.
+    std::function<void(const std::string& member, core::Duration delay)>
+        on_path_delay;
     // `member` has left or timed out and must get no new calls.
     std::function<void(const std::string& member)> on_removed;
-    // Fills the fields of a Hello other than the members.
-    std::function<void(mesh::Hello&)> fill_hello;
+    // Fills the fields of a Hello other than `self` and the clock. `receiver` is
+    // empty when it is not known yet.
+    std::function<void(mesh::Hello&, const std::string& receiver)> fill_hello;
     std::function<void(const mesh::Hello&)> on_hello;
   };
 
@@ -54,8 +76,15 @@
 
   void Start();
 
-  // Sends on the link dialled to `member`. Returns false when it is not open.
-  bool Send(const std::string& member, const mesh::Frame& frame);
+  // Sends on the link dialled to `member`. Returns the link's id, or 0 when it
+  // is not open.
+  std::uint64_t Send(const std::string& member, const mesh::Frame& frame);
+
+  // Takes back a call that was sent on link `link_id`. Returns whether no part
+  // of it has left: it has then not run and never will. Otherwise the call is
+  // cancelled.
+  bool Withdraw(const std::string& member, std::uint64_t link_id,
+                std::uint64_t call_id);
 
   // Sends to all peers, on the links that they dialled.
   void Broadcast(const mesh::Frame& frame);
@@ -85,6 +114,16 @@
   // Whether this daemon has the highest rendezvous score for `purpose` among
   // the reachable members of its data centre.
   bool is_first_in_data_centre(std::string_view purpose) const;
+  // Whether `member` has it among the reachable members of its own one.
+  bool is_first_of_its_data_centre(const std::string& member,
+                                   std::string_view purpose) const;
+  // Whether this daemon has watched its links all along lately. After a pause
+  // its peers may have replaced it in its duties, until it has heard of them.
+  bool is_view_current() const;
+  // `when` on the clock of `member`, in microseconds; 0 when not known.
+  std::uint64_t PeerTime(const std::string& member, core::Instant when) const;
+  // Digest of the known members.
+  std::uint64_t members_digest() const { return this->digest; }
   // Empty when `member` is unknown.
   std::string data_centre_of(const std::string& member) const;
   // Whether the list of members has been read from the store.
@@ -100,11 +139,20 @@
     core::Instant dialled_or_pinged_at;
     std::uint64_t ping_id = 0;  // 0: no ping is pending
     core::Duration ping_sent_at{};
+    core::Duration round_trip{};  // of the last ping that was answered
+    core::Duration path_delay{};  // as last reported
     TimerQueue::Id redial_timer = 0;
     core::Duration redial_backoff{};
   };
 
+  // A silent link with calls that still wait for their replies.
+  struct SilentLink {
+    LinkPointer link;
+    core::Instant since;
+  };
+
   void Accept();
+  void AddAccepted(boost::asio::ip::tcp::socket socket);
   // Writes this daemon's record to the store, then reads the others'.
   void RegisterSelf();
   void ListMembers();
@@ -117,12 +165,30 @@
   void SendHello(const LinkPointer& link);
   void OnFrame(const LinkPointer& link, mesh::Frame& frame, bool is_dialled);
   void OnDialledClosed(const LinkPointer& link, const std::string& reason);
+  // Detaches the dialled link from its member, which becomes unreachable.
+  void DetachDialled(Peer& peer, const std::string& reason);
+  // Keeps a silent link for its waiting calls, or closes it if there are none.
+  void RetireSilentLink(const LinkPointer& link);
+  void CheckSilentLinks(core::Instant now);
+  // Takes back the calls that have waited too long to be sent on `link`.
+  void WithdrawHeldCalls(const LinkPointer& link, core::Instant now);
+  void OnPong(const LinkPointer& link, const mesh::Pong& pong);
+  void SendMembers(const LinkPointer& link);
+  void RefreshDigest();
   // Stops new calls to the member. Its entry stays until its dialled link
   // closes.
   void RemoveMember(const std::string& name, std::string_view reason);
   void SetReachable(Peer& peer, bool reachable);
   // Pings peers, closes silent links and drops unreachable members.
   void CheckLinks();
+  // Measures the delays of the paths to the peers and takes back calls that
+  // have waited too long to be sent.
+  void CheckPaths();
+  void CheckPathDelay(Peer& peer, core::Instant now);
+  // The reachable member of `data_centre` with the highest rendezvous score for
+  // `purpose`; empty if there is none.
+  const std::string& FirstOf(const std::string& data_centre,
+                             std::string_view purpose) const;
 
   boost::asio::io_context& context;
   TimerQueue& timers;
@@ -132,8 +198,20 @@
   mesh::Member self;
   std::map<std::string, Peer> peers;
   std::set<LinkPointer> accepted;
+  std::map<std::uint64_t, SilentLink> silent_links;  // by link id
+  // Incarnations of dropped members. Other daemons may still know them.
+  std::map<std::string, std::uint64_t> dropped_incarnations;
+  std::uint64_t last_link_id = 0;
   std::uint64_t last_ping_id = 0;
   std::uint64_t reachability = 1;
+  std::uint64_t digest = 0;
+  // Cached results of FirstOf(), valid for one reachability version.
+  mutable std::map<std::pair<std::string, std::string>, std::string>
+      first_members;
+  mutable std::uint64_t first_members_version = 0;
+  core::Instant checked_at;
+  core::Instant view_current_from;
+  core::Instant members_wanted_at;
   bool listed = false;
 };
 
--- a/packages/sidecar/include/lycheewell/sidecar/requests/account_limiter.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/account_limiter.h
@@ -56,6 +56,7 @@
     std::string account;
     std::string owner;
     int amount = 0;
+    core::Instant sent_at;
     TimerQueue::Id timer = 0;
   };
   struct AccountState {
@@ -68,8 +69,8 @@
   AccountState& StateOf(const std::string& account);
   std::string OwnerOf(const std::string& account);
   void RequestTokens(const std::string& account, AccountState& state);
-  void Settle(AccountState& state);
   void FallBack(std::uint64_t request_id);
+  bool TakeFallback(AccountState& state, core::Instant now);
   core::Duration RetryAfter(const AccountState& state) const;
 
   TimerQueue& timers;
--- a/packages/sidecar/include/lycheewell/sidecar/requests/frontend.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/frontend.h
@@ -11,6 +11,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "lycheewell/core/overload/demand_model.h"
 #include "lycheewell/core/retry/window_budget.h"
@@ -52,8 +53,16 @@
   // Handles the reply of daemon `member` to a call that was sent to it.
   void OnReply(const std::string& member, mesh::Reply& reply);
 
-  // Ends the unanswered calls to daemon `member`: they may have run.
-  void OnLinkLost(const std::string& member);
+  // Ends the unanswered calls on link `link_id`: they may have run.
+  void OnLinkLost(std::uint64_t link_id);
+
+  // Repeats the idempotent calls on the silent link `link_id` elsewhere. The
+  // others wait for their replies: their work may go on.
+  void OnLinkSilent(std::uint64_t link_id);
+
+  // Sends call `call_id`, which its link could not send for `held_for`, to
+  // another target or refuses it. It has not run.
+  void OnHeldBack(std::uint64_t call_id, core::Duration held_for);
 
   core::routing::TargetSelector& selector() { return this->targets; }
   core::overload::DemandModel& demand() { return this->demand_model; }
@@ -72,6 +81,8 @@
   }
 
   std::size_t open_requests() const { return this->open; }
+  // Whether calls that must not be repeated wait for replies on the link.
+  bool has_unrepeatable_calls(std::uint64_t link_id) const;
   // When a call made by the target beside this daemon last got no slot.
   core::Instant last_starved_call() const { return this->starved_call_at; }
   // When a call made by that target last failed for any reason.
@@ -96,7 +107,8 @@
   void OnOutcome(const PendingPointer& pending, GateReply reply);
   void OnNotRun(const PendingPointer& pending, const GateReply& reply);
   void OnTimeout(const PendingPointer& pending);
-  void CancelCall(const PendingPointer& pending);
+  // Cancels the current call, if any. Returns whether it may have run.
+  bool CancelCall(const PendingPointer& pending);
   void Refuse(const PendingPointer& pending, unsigned status,
               std::string_view reason, core::Duration retry_after);
   void Fail(const PendingPointer& pending, unsigned status,
@@ -106,6 +118,9 @@
   void RecordStarvedCall(const PendingPointer& pending);
   void RecordFailedCall(const PendingPointer& pending, unsigned status);
   void Close(const PendingPointer& pending);
+  // Calls on the link, all or the idempotent ones.
+  std::vector<PendingPointer> CallsOn(std::uint64_t link_id,
+                                      bool only_idempotent) const;
   core::retry::WindowBudget& BudgetOf(const std::string& service);
 
   TimerQueue& timers;
--- a/packages/sidecar/include/lycheewell/sidecar/requests/gate.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/gate.h
@@ -97,8 +97,9 @@
   Ticket Submit(GateCall call, Callback done);
 
   // Cancels a request whose answer is no longer needed; `done` is not called. A
-  // running request that is not idempotent is left to finish.
-  void Cancel(Ticket ticket);
+  // running request that is not idempotent is left to finish. Returns whether
+  // the request has not run and never will.
+  bool Cancel(Ticket ticket);
 
   void OnAnnouncement(const Announcement& announcement);
 
@@ -141,6 +142,7 @@
   struct Call {
     GateCall request;
     Callback done;
+    std::unique_ptr<http::BodyAllowance> body_allowance;
     std::shared_ptr<http::ClientConnection> connection;
     core::Instant started_at;
     TimerQueue::Id timer = 0;
@@ -162,6 +164,8 @@
   void RefuseWaiting(std::string_view reason);
   void SetState(TargetState state, std::string_view reason);
   void CheckAnnouncements();
+  // Time without an announcement after which the target is considered gone.
+  core::Duration AnnouncementTimeout() const;
   std::shared_ptr<http::ClientConnection> TakeConnection(bool is_idempotent);
   void ReturnConnection(std::shared_ptr<http::ClientConnection> connection);
 
@@ -170,6 +174,8 @@
   DecisionLog& log;
   Options options;
   boost::asio::ip::tcp::endpoint target_endpoint;
+  http::ByteBudgetPointer request_bodies;  // of calls that wait or are sent
+  http::ByteBudgetPointer answer_bodies;   // that are being received
   core::overload::SlotGate slots;
   std::unordered_map<Ticket, Call> calls;
   std::deque<std::shared_ptr<http::ClientConnection>>
--- a/packages/sidecar/include/lycheewell/sidecar/settings.h
+++ b/packages/sidecar/include/lycheewell/sidecar/settings.h
@@ -38,6 +38,8 @@
   std::string target_address;
   std::string target_service;
   std::uint16_t links_port = 0;
+  // The port at which other daemons reach `links_port`.
+  std::uint16_t advertised_links_port = 0;
   std::uint16_t metrics_port = 0;
   std::string store_address;
   // Approximate time between two announcements of a target.
--- a/packages/sidecar/src/decision_log.cpp
+++ b/packages/sidecar/src/decision_log.cpp
@@ -8,6 +8,8 @@
 #include <mutex>
 #include <sstream>
 
+#include "lycheewell/sidecar/clock.h"
+
 namespace lycheewell::sidecar {
 using daemon::events::Event;
 
@@ -109,7 +111,7 @@
 
 DecisionLog::Budget& DecisionLog::BudgetOf(Event event) {
   Budget& budget = this->budgets[event];
-  const core::Instant now = std::chrono::steady_clock::now();
+  const core::Instant now = Now();
   if (now - budget.window_start >= std::chrono::seconds(1)) {
     budget.window_start = now;
     budget.written = 0;
--- a/packages/sidecar/src/http/client_connection.cpp
+++ b/packages/sidecar/src/http/client_connection.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/write.hpp>
 #include <charconv>
 
+#include "lycheewell/sidecar/clock.h"
 #include "lycheewell/sidecar/http/socket_options.h"
 
 namespace lycheewell::sidecar::http {
@@ -16,8 +17,9 @@
 // Buffer of one read. Most responses fit.
 constexpr std::size_t kReadSize = 8 * 1024;
 
-// Largest response that is held in memory.
-constexpr std::uint64_t kMaxResponseBytes = 64ULL * 1024 * 1024;
+// Interim responses, and responses to earlier requests, that are skipped while
+// waiting for one response.
+constexpr int kMaxSkippedResponses = 16;
 
 // Returns the N of "Keep-Alive: timeout=N".
 std::optional<std::chrono::seconds> ParseKeepAlive(std::string_view value) {
@@ -39,8 +41,11 @@
 }  // namespace
 
 ClientConnection::ClientConnection(asio::io_context& context,
-                                   tcp::endpoint new_endpoint)
-    : socket(context), endpoint(std::move(new_endpoint)) {}
+                                   tcp::endpoint new_endpoint,
+                                   ByteBudgetPointer body_budget)
+    : socket(context),
+      endpoint(std::move(new_endpoint)),
+      body_allowance(std::move(body_budget)) {}
 
 bool ClientConnection::is_usable() const {
   return this->connected && !this->closed && !this->current && !this->writing &&
@@ -52,6 +57,7 @@
   this->outgoing =
       std::make_shared<std::string>(std::move(this->current->message));
   this->sent_any = false;
+  this->skipped_responses = 0;
   if (this->connected) {
     this->Write();
   } else {
@@ -98,6 +104,9 @@
                         // The response may still arrive before the close.
                         self->must_close = true;
                       }
+                      if (self->must_close && !self->current) {
+                        self->CloseSocket();
+                      }
                     });
 }
 
@@ -118,12 +127,21 @@
         self->Consume(error == asio::error::eof);
         if (error) {
           self->Fail("the connection was closed");
-        } else if (!self->closed) {
+          return;
+        }
+        self->CloseOnStrayBytes();
+        if (!self->closed) {
           self->Read();
         }
       });
 }
 
+void ClientConnection::CloseOnStrayBytes() {
+  if (!this->current && this->buffer.size() > 0) {
+    this->CloseSocket();
+  }
+}
+
 void ClientConnection::Consume(bool at_end) {
   while (this->current && !this->closed) {
     if (!this->parser) {
@@ -133,7 +151,8 @@
       this->parser.emplace();
       this->parser->eager(true);
       this->parser->skip(this->current->is_head);
-      this->parser->body_limit(kMaxResponseBytes);
+      this->parser->header_limit(kMaxResponseHeaderBytes);
+      this->parser->body_limit(kMaxResponseBodyBytes);
     }
     beast::error_code error;
     while (this->buffer.size() > 0 && !this->parser->is_done()) {
@@ -154,7 +173,15 @@
       this->Fail("unreadable answer: " + error.message());
       return;
     }
+    if (!this->body_allowance.Grow(this->parser->get().body().size())) {
+      this->Fail("no memory left for the answer's body");
+      return;
+    }
     if (!this->parser->is_done()) {
+      // What the parser leaves in the buffer is an incomplete line.
+      if (this->buffer.size() > kMaxResponseHeaderBytes) {
+        this->Fail("unreadable answer: line too long");
+      }
       return;
     }
     this->CompleteResponse();
@@ -165,13 +192,16 @@
   const bool ends_with_connection = this->parser->need_eof();
   io::http::Response response = this->parser->release();
   this->parser.reset();
+  this->body_allowance.Reset();
   constexpr unsigned kFirstFinalStatus = 200;
-  if (response.result_int() < kFirstFinalStatus) {
-    return;  // an interim response
-  }
-  if (this->current->is_matching_response &&
-      !this->current->is_matching_response(response)) {
-    return;  // a late response to an earlier request
+  const bool is_interim = response.result_int() < kFirstFinalStatus;
+  const bool is_late = !is_interim && this->current->is_matching_response &&
+                       !this->current->is_matching_response(response);
+  if (is_interim || is_late) {
+    if (++this->skipped_responses > kMaxSkippedResponses) {
+      this->Fail("too many answers that belong to other requests");
+    }
+    return;
   }
   if (!response.keep_alive() || ends_with_connection) {
     this->must_close = true;
@@ -180,12 +210,16 @@
   if (keep_alive != response.end()) {
     this->idle_timeout = ParseKeepAlive(io::http::View(keep_alive->value()));
   }
-  this->became_idle_at = std::chrono::steady_clock::now();
+  this->became_idle_at = Now();
   const auto done = std::move(this->current->done);
   this->current.reset();
+  // The target may read the rest of the request after its answer, but no other
+  // request may follow on this connection.
+  this->must_close = this->must_close || this->writing;
   if (this->must_close && !this->writing) {
     this->CloseSocket();
   }
+  this->CloseOnStrayBytes();
   done(std::move(response));
 }
 
@@ -213,6 +247,7 @@
     return;
   }
   this->closed = true;
+  this->body_allowance.Reset();
   boost::system::error_code ignored;  // the socket is discarded in any case
   this->socket.close(ignored);
 }
--- a/packages/sidecar/src/http/server.cpp
+++ b/packages/sidecar/src/http/server.cpp
@@ -36,6 +36,14 @@
 // Limits how slowly a request body may arrive.
 constexpr auto kBodyTimeout = std::chrono::seconds(30);
 
+// After its answer, or when it is idle at the end of a drain, a connection is
+// read for this long: closing with unread input would reset it.
+constexpr auto kLingerTime = std::chrono::milliseconds(500);
+
+// Retry-After of requests whose body does not fit into memory. Bodies are held
+// until their request is answered.
+constexpr std::string_view kNoMemoryRetryAfter = "Retry-After: 0.500\r\n";
+
 std::string StatusLine(unsigned status) {
   const auto reason =
       beast::http::obsolete_reason(beast::http::int_to_status(status));
@@ -58,8 +66,26 @@
     this->Read();
   }
 
+  // Whether no request is being read, served or answered.
   bool is_idle() const {
-    return !this->exchange && !this->parser && !this->writing;
+    return !this->exchange && !this->parser && !this->writing &&
+           !this->lingering && !this->expecting_request;
+  }
+
+  // Ends an idle connection; a request that has arrived by now is still
+  // served.
+  void CloseWhenIdle() {
+    boost::system::error_code error;
+    if (this->buffer.size() > 0 || this->socket.available(error) > 0) {
+      return;  // the pending read delivers the request
+    }
+    this->Linger();
+  }
+
+  // Closes the connection if no request arrives within `limit`.
+  void ExpectRequestWithin(core::Duration limit) {
+    this->expecting_request = true;
+    this->StartTimer(limit);
   }
 
   void Close() {
@@ -74,6 +100,7 @@
     if (this->exchange) {
       const auto on_disconnect = std::move(this->exchange->on_disconnect);
       this->exchange->answered = true;
+      this->exchange->body_allowance.reset();
       this->exchange.reset();
       if (on_disconnect) {
         on_disconnect();
@@ -89,6 +116,9 @@
                                                io::http::Verb::head;
     this->closes_after =
         this->closes_after || answer.closes || this->server.draining;
+    if (this->exchange) {
+      this->exchange->body_allowance.reset();
+    }
     this->exchange.reset();
     auto message = std::make_shared<std::string>(StatusLine(answer.status));
     *message += answer.header_lines;
@@ -149,10 +179,8 @@
     }
   }
 
-  // Closes the connection after the client has had time to read the answer:
-  // closing with unread input would reset the connection.
+  // Closes the connection after the client has had time to read the answer.
   void Linger() {
-    constexpr auto kLingerTime = std::chrono::milliseconds(500);
     boost::system::error_code ignored;
     this->socket.shutdown(tcp::socket::shutdown_send, ignored);
     this->lingering = true;
@@ -196,10 +224,13 @@
     }
     if (!this->parser) {
       const ServerLimits limits = this->Limits();
+      this->expecting_request = false;
       this->parser.emplace();
       this->parser->eager(true);
       this->parser->header_limit(limits.header_bytes);
       this->parser->body_limit(limits.body_bytes);
+      this->body_allowance =
+          std::make_unique<BodyAllowance>(this->server.options.body_budget);
       this->StartTimer(limits.header_timeout);
     }
     beast::error_code error;
@@ -215,6 +246,11 @@
       this->RejectMalformed(error);
       return;
     }
+    if (!this->body_allowance->Grow(this->parser->get().body().size())) {
+      this->Reject(503, "no memory for the body",
+                   std::string(kNoMemoryRetryAfter));
+      return;
+    }
     if (!had_header && this->parser->is_header_done() &&
         !this->parser->is_done()) {
       this->StartTimer(kBodyTimeout);
@@ -234,7 +270,8 @@
     this->server.timers.Cancel(this->timer);
     this->closes_after = !this->parser->keep_alive();
     this->exchange = std::make_shared<ServerExchange>(this->weak_from_this(),
-                                                      this->parser->release());
+                                                      this->parser->release(),
+                                                      std::move(this->body_allowance));
     this->parser.reset();
     this->server.options.handler(this->exchange);
   }
@@ -249,16 +286,22 @@
     }
   }
 
-  void Reject(unsigned status, std::string_view reason) {
+  void Reject(unsigned status, std::string_view reason,
+              std::string header_lines = "") {
     this->rejected = true;
+    this->body_allowance.reset();
+    this->parser.reset();
     this->server.options.on_bad_request(status, reason);
-    this->Send({.status = status, .closes = true});
+    this->Send({.status = status,
+                .header_lines = std::move(header_lines),
+                .closes = true});
   }
 
   Server& server;
   tcp::socket socket;
   beast::flat_buffer buffer;
   std::optional<Parser> parser;
+  std::unique_ptr<BodyAllowance> body_allowance;  // of the request being read
   ExchangePointer exchange;
   TimerQueue::Id timer = 0;
   bool reading = false;
@@ -266,12 +309,16 @@
   bool closes_after = false;
   bool rejected = false;
   bool lingering = false;
+  bool expecting_request = false;  // accepted at the end of a drain
   bool closed = false;
 };
 
 ServerExchange::ServerExchange(std::weak_ptr<ServerConnection> new_connection,
-                               io::http::Request request)
-    : connection(std::move(new_connection)), message(std::move(request)) {}
+                               io::http::Request request,
+                               std::unique_ptr<BodyAllowance> new_allowance)
+    : connection(std::move(new_connection)),
+      message(std::move(request)),
+      body_allowance(std::move(new_allowance)) {}
 
 void ServerExchange::Send(const Answer& answer) {
   if (this->answered) {
@@ -308,21 +355,46 @@
           this->timers.After(kAcceptRetryDelay, [this] { this->Accept(); });
           return;
         }
-        const auto connection =
-            std::make_shared<ServerConnection>(*this, std::move(socket));
-        this->connections.insert(connection);
-        connection->Start();
+        this->AddConnection(std::move(socket));
         this->Accept();
       });
 }
 
+void Server::AddConnection(tcp::socket socket) {
+  const auto connection =
+      std::make_shared<ServerConnection>(*this, std::move(socket));
+  this->connections.insert(connection);
+  connection->Start();
+}
+
+void Server::AcceptQueued() {
+  boost::system::error_code error;
+  this->acceptor.cancel(error);
+  this->acceptor.non_blocking(true, error);
+  while (!error) {
+    tcp::socket socket(this->acceptor.get_executor());
+    this->acceptor.accept(socket, error);
+    if (!error) {
+      this->AddConnection(std::move(socket));
+    }
+  }
+}
+
 void Server::Close() {
-  boost::system::error_code ignored;
-  this->acceptor.close(ignored);
   const auto open = this->connections;
+  if (this->acceptor.is_open()) {
+    this->AcceptQueued();
+    boost::system::error_code ignored;
+    this->acceptor.close(ignored);
+    for (const auto& connection : this->connections) {
+      if (!open.contains(connection)) {
+        connection->ExpectRequestWithin(kLingerTime);
+      }
+    }
+  }
   for (const auto& connection : open) {
     if (connection->is_idle()) {
-      connection->Close();
+      connection->CloseWhenIdle();
     }
   }
 }
--- a/packages/sidecar/src/links/link.cpp
+++ b/packages/sidecar/src/links/link.cpp
@@ -1,9 +1,15 @@
 #include "lycheewell/sidecar/links/link.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <cstring>
 
+#include "lycheewell/sidecar/clock.h"
 #include "lycheewell/sidecar/http/socket_options.h"
 
 namespace lycheewell::sidecar::links {
@@ -16,7 +22,48 @@
 constexpr std::size_t kInitialBufferBytes = 16 * 1024;
 
 // A frame holds at most one body, so a larger length means a corrupt stream.
-constexpr std::size_t kMaxFrameBytes = 80ULL * 1024 * 1024;
+constexpr std::size_t kMaxFrameBytes = 10ULL * 1024 * 1024;
+
+// Slices of all incomplete frames of a link. It exceeds the bodies for which a
+// daemon that sends has memory.
+constexpr std::size_t kMaxJoinedBytes = 32ULL * 1024 * 1024;
+
+constexpr std::size_t kSliceBytes = 16 * 1024;
+
+// Bytes handed to the kernel at a time, and those that it queues beside what is
+// in transit. Frames behind them can still be withdrawn.
+constexpr std::size_t kMaxWriteBytes = 64 * 1024;
+constexpr int kMaxKernelQueueBytes = 64 * 1024;
+
+// Unacknowledged data closes a link only after this time: the work on its calls
+// goes on while the peer is silent.
+constexpr int kUserTimeoutMs = 12'000;
+
+void SetLinkOptions(tcp::socket& socket) {
+  http::SetSocketOptions(socket);
+  const auto set = [&socket](int name, int value) {
+    setsockopt(socket.native_handle(), IPPROTO_TCP, name, &value, sizeof value);
+  };
+  set(TCP_USER_TIMEOUT, kUserTimeoutMs);
+  set(TCP_NOTSENT_LOWAT, kMaxKernelQueueBytes);
+}
+
+std::string WithLength(const mesh::Frame& frame) {
+  const std::size_t length = frame.ByteSizeLong();
+  std::string bytes;
+  bytes.reserve(kLengthPrefixBytes + length);
+  for (std::size_t i = kLengthPrefixBytes; i-- > 0;) {
+    bytes += static_cast<char>((length >> (8 * i)) & 0xffU);
+  }
+  frame.AppendToString(&bytes);
+  return bytes;
+}
+
+std::int64_t Microseconds(core::Instant when) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(
+             when.time_since_epoch())
+      .count();
+}
 
 std::size_t ReadLength(const char* bytes) {
   std::size_t length = 0;
@@ -33,7 +80,7 @@
 
 Link::Link(tcp::socket new_socket, Hooks new_hooks)
     : socket(std::move(new_socket)), hooks(std::move(new_hooks)) {
-  http::SetSocketOptions(this->socket);
+  SetLinkOptions(this->socket);
 }
 
 void Link::Connect(const tcp::endpoint& endpoint) {
@@ -46,7 +93,7 @@
                });
     return;
   }
-  http::SetSocketOptions(this->socket);
+  SetLinkOptions(this->socket);
   this->socket.async_connect(endpoint,
                              [self = this->shared_from_this()](
                                  const boost::system::error_code& failure) {
@@ -64,24 +111,106 @@
 
 void Link::Start() {
   this->open = true;
-  this->received_at = std::chrono::steady_clock::now();
+  this->received_at = Now();
   this->incoming.resize(kInitialBufferBytes);
   this->Read();
 }
 
-std::size_t Link::unsent_bytes() const {
-  return this->outgoing.size() + this->in_flight.size();
+std::optional<core::Instant> Link::oldest_unsent_since() const {
+  std::optional<core::Instant> oldest;
+  for (const auto* frames : {&this->whole_frames, &this->sliced_frames}) {
+    if (!frames->empty() && (!oldest || frames->front().queued_at < *oldest)) {
+      oldest = frames->front().queued_at;
+    }
+  }
+  return oldest;
+}
+
+std::vector<std::uint64_t> Link::CallsHeldSince(core::Instant before) const {
+  std::vector<std::uint64_t> calls;
+  for (const auto* frames : {&this->whole_frames, &this->sliced_frames}) {
+    for (const Outgoing& frame : *frames) {
+      if (frame.call_id != 0 && frame.sent == 0 && frame.queued_at < before) {
+        calls.push_back(frame.call_id);
+      }
+    }
+  }
+  return calls;
+}
+
+void Link::RecordPeerClock(std::uint64_t clock_us) {
+  // Transit makes a sample too small, so the largest one is the best.
+  const std::int64_t sample =
+      static_cast<std::int64_t>(clock_us) - Microseconds(Now());
+  this->peer_clock_offset_us =
+      std::max(sample, this->peer_clock_offset_us.value_or(sample));
+}
+
+std::optional<std::uint64_t> Link::PeerTime(core::Instant when) const {
+  if (!this->peer_clock_offset_us) {
+    return std::nullopt;
+  }
+  return static_cast<std::uint64_t>(std::max<std::int64_t>(
+      0, Microseconds(when) + *this->peer_clock_offset_us));
 }
 
 void Link::Send(const mesh::Frame& frame) {
   if (!this->open) {
     return;
   }
-  const std::size_t length = frame.ByteSizeLong();
-  for (std::size_t i = kLengthPrefixBytes; i-- > 0;) {
-    this->outgoing += static_cast<char>((length >> (8 * i)) & 0xffU);
+  if (frame.has_cancel() &&
+      (this->Withdraw(frame.cancel().call_id()) ||
+       this->AbortPartlySent(frame.cancel().call_id()))) {
+    return;
+  }
+  Outgoing outgoing{
+      .bytes = WithLength(frame),
+      .call_id = frame.has_call() ? frame.call().call_id() : 0,
+      .queued_at = Now()};
+  this->queued_bytes += outgoing.bytes.size();
+  if (outgoing.bytes.size() <= kMaxWholeFrameBytes) {
+    this->whole_frames.push_back(std::move(outgoing));
+  } else {
+    outgoing.stream = ++this->last_stream;
+    this->sliced_frames.push_back(std::move(outgoing));
+  }
+  this->ScheduleFlush();
+}
+
+bool Link::Withdraw(std::uint64_t call_id) {
+  for (auto* frames : {&this->whole_frames, &this->sliced_frames}) {
+    const auto found = std::find_if(
+        frames->begin(), frames->end(), [&](const Outgoing& frame) {
+          return frame.call_id == call_id && frame.sent == 0;
+        });
+    if (found != frames->end()) {
+      this->queued_bytes -= found->bytes.size();
+      frames->erase(found);
+      return true;
+    }
+  }
+  return false;
+}
+
+bool Link::AbortPartlySent(std::uint64_t call_id) {
+  const auto found =
+      std::find_if(this->sliced_frames.begin(), this->sliced_frames.end(),
+                   [&](const Outgoing& frame) {
+                     return frame.call_id == call_id;
+                   });
+  if (found == this->sliced_frames.end()) {
+    return false;
   }
-  frame.AppendToString(&this->outgoing);
+  mesh::Frame end;
+  end.mutable_slice()->set_stream(found->stream);
+  end.mutable_slice()->set_is_withdrawn(true);
+  this->queued_bytes -= found->bytes.size() - found->sent;
+  this->sliced_frames.erase(found);
+  this->Send(end);
+  return true;
+}
+
+void Link::ScheduleFlush() {
   if (!this->writing && !this->flush_posted) {
     this->flush_posted = true;
     asio::post(this->socket.get_executor(), [self = this->shared_from_this()] {
@@ -91,18 +220,52 @@
   }
 }
 
+void Link::AppendNextSlice() {
+  Outgoing frame = std::move(this->sliced_frames.front());
+  this->sliced_frames.pop_front();
+  const std::size_t size =
+      std::min(kSliceBytes, frame.bytes.size() - frame.sent);
+  mesh::Frame part;
+  mesh::Slice& slice = *part.mutable_slice();
+  slice.set_stream(frame.stream);
+  slice.set_bytes(frame.bytes.data() + frame.sent, size);
+  frame.sent += size;
+  slice.set_is_last(frame.sent == frame.bytes.size());
+  this->queued_bytes -= size;
+  this->in_flight += WithLength(part);
+  if (!slice.is_last()) {
+    // The streams take turns.
+    this->sliced_frames.push_back(std::move(frame));
+  }
+}
+
+void Link::FillInFlight() {
+  while (!this->whole_frames.empty() &&
+         this->in_flight.size() < kMaxWriteBytes) {
+    const std::string& bytes = this->whole_frames.front().bytes;
+    this->queued_bytes -= bytes.size();
+    this->in_flight += bytes;
+    this->whole_frames.pop_front();
+  }
+  if (!this->sliced_frames.empty()) {
+    this->AppendNextSlice();
+  }
+}
+
 void Link::Flush() {
-  if (!this->open || this->writing || this->outgoing.empty()) {
+  if (!this->open || this->writing) {
     return;
   }
-  this->writing = true;
   this->in_flight.clear();
-  std::swap(this->in_flight, this->outgoing);
+  this->FillInFlight();
+  if (this->in_flight.empty()) {
+    return;
+  }
+  this->writing = true;
   asio::async_write(this->socket, asio::buffer(this->in_flight),
                     [self = this->shared_from_this()](
                         const boost::system::error_code& error, std::size_t) {
                       self->writing = false;
-                      self->in_flight.clear();
                       if (error) {
                         self->Fail(error.message());
                         return;
@@ -124,7 +287,7 @@
           self->Fail(error.message());
           return;
         }
-        self->received_at = std::chrono::steady_clock::now();
+        self->received_at = Now();
         self->incoming_size += size;
         if (self->DispatchFrames() && !self->closed) {
           self->Read();
@@ -146,16 +309,11 @@
       }
       break;
     }
-    mesh::Frame frame;
-    if (!frame.ParseFromArray(
-            this->incoming.data() + parsed_size + kLengthPrefixBytes,
-            static_cast<int>(length))) {
-      this->Fail("malformed frame");
-      return false;
-    }
+    const char* bytes =
+        this->incoming.data() + parsed_size + kLengthPrefixBytes;
     parsed_size += kLengthPrefixBytes + length;
-    this->hooks.on_frame(this->shared_from_this(), frame);
-    if (this->closed) {
+    constexpr bool kIsJoined = false;
+    if (!this->Dispatch(bytes, length, kIsJoined)) {
       return false;
     }
   }
@@ -170,6 +328,51 @@
   return true;
 }
 
+bool Link::Dispatch(const char* bytes, std::size_t size, bool is_joined) {
+  mesh::Frame frame;
+  if (!frame.ParseFromArray(bytes, static_cast<int>(size)) ||
+      (is_joined && frame.has_slice())) {
+    this->Fail("malformed frame");
+    return false;
+  }
+  if (frame.has_slice()) {
+    return this->Join(frame.slice());
+  }
+  this->hooks.on_frame(this->shared_from_this(), frame);
+  return !this->closed;
+}
+
+bool Link::Join(const mesh::Slice& slice) {
+  if (slice.is_withdrawn()) {
+    const auto found = this->joined.find(slice.stream());
+    if (found != this->joined.end()) {
+      this->joined_bytes -= found->second.size();
+      this->joined.erase(found);
+    }
+    return true;
+  }
+  std::string& bytes = this->joined[slice.stream()];
+  bytes += slice.bytes();
+  this->joined_bytes += slice.bytes().size();
+  if (this->joined_bytes > kMaxJoinedBytes) {
+    this->Fail("too many bytes in slices");
+    return false;
+  }
+  if (!slice.is_last()) {
+    return true;
+  }
+  const std::string whole = std::move(bytes);
+  this->joined.erase(slice.stream());
+  this->joined_bytes -= whole.size();
+  if (whole.size() < kLengthPrefixBytes) {
+    this->Fail("malformed frame");
+    return false;
+  }
+  constexpr bool kIsJoined = true;
+  return this->Dispatch(whole.data() + kLengthPrefixBytes,
+                        whole.size() - kLengthPrefixBytes, kIsJoined);
+}
+
 void Link::Fail(const std::string& reason) {
   if (this->closed) {
     return;
--- a/packages/sidecar/src/links/mesh.cpp
+++ b/packages/sidecar/src/links/mesh.cpp
@@ -7,6 +7,7 @@
 
 #include "lycheewell/core/routing/rendezvous.h"
 #include "lycheewell/io/http/address.h"
+#include "lycheewell/sidecar/clock.h"
 #include "lycheewell/sidecar/manifest/manifest_keeper.h"
 
 namespace lycheewell::sidecar::links {
@@ -39,9 +40,40 @@
 // Restarts take seconds, outages of the store up to minutes.
 constexpr core::Duration kUnreachableMemberTimeout = std::chrono::minutes(3);
 
+// A silent link is kept for its calls for at most this long. The time limits of
+// most calls are shorter.
+constexpr core::Duration kMaxSilentLinkTime = std::chrono::seconds(10);
+
+// A call that could not be handed to the kernel for this long is taken back, so
+// that it can go to another target or be refused.
+constexpr core::Duration kMaxHeldTime = std::chrono::milliseconds(250);
+constexpr core::Duration kPathCheckPeriod = std::chrono::milliseconds(50);
+
+// Round trips take less than this on paths in order.
+constexpr core::Duration kNegligiblePathDelay = std::chrono::milliseconds(25);
+
+// Links without a check for this long mean that the process was paused.
+constexpr core::Duration kPauseThreshold = std::chrono::milliseconds(1500);
+
+// Time after a pause until the view of the members is current again: peers have
+// then answered a ping.
+constexpr core::Duration kViewRefreshTime = std::chrono::milliseconds(1500);
+
+// Minimum time between two requests for the list of members.
+constexpr core::Duration kMembersInterval = std::chrono::seconds(4);
+
+constexpr std::size_t kMaxDroppedIncarnations = 16 * 1024;
+
 // Delay after a failed accept or a failed store call.
 constexpr core::Duration kRetryDelay = std::chrono::milliseconds(300);
 
+// Rendezvous key that elects the daemon which sums the demand of its data
+// centre for the other ones.
+constexpr std::string_view kDemandSummerRole = "demand";
+
+// Rendezvous key of the digest of the members.
+constexpr std::string_view kDigestKey = "members";
+
 }  // namespace
 
 Mesh::Mesh(asio::io_context& new_context, TimerQueue& new_timers,
@@ -60,7 +92,8 @@
   this->acceptor.bind(endpoint);
   this->acceptor.listen();
   this->self.set_name(settings.name);
-  this->self.set_address(address);
+  this->self.set_address(settings.address + ":" +
+                         std::to_string(settings.advertised_links_port));
   this->self.set_data_centre(settings.data_centre);
   // Increases with each restart unless the system clock is set back.
   const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -71,7 +104,9 @@
 void Mesh::Start() {
   this->Accept();
   this->RegisterSelf();
+  this->RefreshDigest();
   this->CheckLinks();
+  this->CheckPaths();
 }
 
 void Mesh::Accept() {
@@ -81,24 +116,28 @@
       this->timers.After(kRetryDelay, [this] { this->Accept(); });
       return;
     }
-    const auto link = std::make_shared<Link>(
-        std::move(socket),
-        Link::Hooks{.on_frame =
-                        [this](const LinkPointer& source, mesh::Frame& frame) {
-                          this->OnFrame(source, frame, false);
-                        },
-                    .on_closed =
-                        [this](const LinkPointer& source, const std::string&) {
-                          this->accepted.erase(source);
-                          this->options.hooks.on_accepted_closed(source);
-                        }});
-    this->accepted.insert(link);
-    link->Start();
-    this->SendHello(link);
+    this->AddAccepted(std::move(socket));
     this->Accept();
   });
 }
 
+void Mesh::AddAccepted(tcp::socket socket) {
+  const auto link = std::make_shared<Link>(
+      std::move(socket),
+      Link::Hooks{.on_frame =
+                      [this](const LinkPointer& source, mesh::Frame& frame) {
+                        this->OnFrame(source, frame, false);
+                      },
+                  .on_closed =
+                      [this](const LinkPointer& source, const std::string&) {
+                        this->accepted.erase(source);
+                        this->options.hooks.on_accepted_closed(source);
+                      }});
+  this->accepted.insert(link);
+  link->Start();
+  this->SendHello(link);
+}
+
 void Mesh::RegisterSelf() {
   this->options.store.put_member(
       {.key = this->self.name(), .value = this->self.SerializeAsString()},
@@ -144,7 +183,8 @@
     return;
   }
   peer.member = member;
-  peer.last_seen = std::chrono::steady_clock::now();
+  peer.last_seen = Now();
+  this->RefreshDigest();
   this->log.Write(Event::kMemberLearnt,
                   {{"member", member.name()},
                    {"address", member.address()},
@@ -182,9 +222,10 @@
           .on_connected =
               [this](const LinkPointer& source) { this->SendHello(source); }});
   link->member = name;
+  link->id = ++this->last_link_id;
   peer.dialled = link;
   peer.established = false;
-  peer.dialled_or_pinged_at = std::chrono::steady_clock::now();
+  peer.dialled_or_pinged_at = Now();
   link->Connect(io::http::ParseEndpoint(peer.member.address()));
 }
 
@@ -192,10 +233,8 @@
   mesh::Frame frame;
   mesh::Hello& hello = *frame.mutable_hello();
   *hello.mutable_self() = this->self;
-  for (const auto& [name, peer] : this->peers) {
-    *hello.add_members() = peer.member;
-  }
-  this->options.hooks.fill_hello(hello);
+  hello.set_clock_us(ClockMicroseconds());
+  this->options.hooks.fill_hello(hello, link->member);
   link->Send(frame);
 }
 
@@ -210,7 +249,25 @@
     }
     return;
   }
+  if (frame.has_members_wanted()) {
+    this->SendMembers(link);
+    return;
+  }
+  if (frame.has_members()) {
+    for (const mesh::Member& member : frame.members().members()) {
+      const auto dropped = this->dropped_incarnations.find(member.name());
+      if (!this->peers.contains(member.name()) &&
+          (dropped == this->dropped_incarnations.end() ||
+           dropped->second < member.incarnation())) {
+        this->UpdateMember(member);
+      }
+    }
+    return;
+  }
   if (!frame.has_hello()) {
+    if (frame.has_pong()) {
+      this->OnPong(link, frame.pong());
+    }
     if (!link->member.empty()) {
       this->options.hooks.on_frame(link, frame);
     }
@@ -218,6 +275,7 @@
   }
   const mesh::Hello& hello = frame.hello();
   const std::string name = hello.self().name();
+  link->RecordPeerClock(hello.clock_us());
   if (is_dialled && name != link->member) {
     // Another daemon has taken over the address.
     link->Close();
@@ -227,16 +285,11 @@
   }
   link->member = name;
   this->UpdateMember(hello.self());
-  for (const mesh::Member& member : hello.members()) {
-    if (!this->peers.contains(member.name())) {
-      this->UpdateMember(member);
-    }
-  }
   const auto found = this->peers.find(name);
   if (found == this->peers.end()) {
     return;
   }
-  found->second.last_seen = std::chrono::steady_clock::now();
+  found->second.last_seen = Now();
   if (!is_dialled) {
     this->Dial(name);
   } else if (found->second.dialled == link) {
@@ -249,22 +302,112 @@
   this->options.hooks.on_hello(hello);
 }
 
+void Mesh::OnPong(const LinkPointer& link, const mesh::Pong& pong) {
+  link->RecordPeerClock(pong.clock_us());
+  const core::Instant now = Now();
+  const auto found = this->peers.find(link->member);
+  if (found != this->peers.end() && found->second.ping_id == pong.id()) {
+    found->second.round_trip =
+        now.time_since_epoch() - found->second.ping_sent_at;
+  }
+  if (pong.members_digest() == this->digest ||
+      now - this->members_wanted_at < kMembersInterval) {
+    return;
+  }
+  this->members_wanted_at = now;
+  mesh::Frame frame;
+  frame.mutable_members_wanted();
+  link->Send(frame);
+}
+
+void Mesh::SendMembers(const LinkPointer& link) {
+  mesh::Frame frame;
+  mesh::Members& members = *frame.mutable_members();
+  *members.add_members() = this->self;
+  for (const auto& [name, peer] : this->peers) {
+    if (!peer.member.is_leaving()) {
+      *members.add_members() = peer.member;
+    }
+  }
+  link->Send(frame);
+}
+
+void Mesh::RefreshDigest() {
+  using core::routing::RendezvousScore;
+  this->digest = RendezvousScore(kDigestKey, this->self.name());
+  for (const auto& [name, peer] : this->peers) {
+    if (!peer.member.is_leaving()) {
+      this->digest ^= RendezvousScore(kDigestKey, name);
+    }
+  }
+}
+
 void Mesh::OnDialledClosed(const LinkPointer& link, const std::string& reason) {
+  if (this->silent_links.erase(link->id) > 0) {
+    this->options.hooks.on_dialled_closed(link->member, link->id);
+    return;
+  }
   const auto found = this->peers.find(link->member);
   if (found == this->peers.end() || found->second.dialled != link) {
     return;
   }
-  Peer& peer = found->second;
+  this->DetachDialled(found->second, reason);
+  this->options.hooks.on_dialled_closed(link->member, link->id);
+}
+
+void Mesh::DetachDialled(Peer& peer, const std::string& reason) {
+  const std::string name = peer.member.name();
   const bool was_established = peer.established;
   peer.dialled.reset();
   peer.established = false;
+  peer.round_trip = {};
   this->SetReachable(peer, false);
   if (was_established) {
-    this->log.Write(Event::kLinkLost,
-                    {{"member", link->member}, {"reason", reason}});
+    this->log.Write(Event::kLinkLost, {{"member", name}, {"reason", reason}});
+  }
+  this->ScheduleRedial(name, was_established);
+}
+
+void Mesh::RetireSilentLink(const LinkPointer& link) {
+  const auto found = this->peers.find(link->member);
+  if (found == this->peers.end() || found->second.dialled != link) {
+    return;
+  }
+  if (!this->options.hooks.has_unrepeatable_calls(link->id)) {
+    link->Close();
+    this->OnDialledClosed(link, "silent");
+    return;
+  }
+  this->silent_links.emplace(link->id,
+                             SilentLink{.link = link, .since = Now()});
+  this->DetachDialled(found->second, "silent, kept for its calls");
+  this->options.hooks.on_silent(link->member, link->id);
+}
+
+void Mesh::CheckSilentLinks(core::Instant now) {
+  std::vector<LinkPointer> finished;
+  for (const auto& [id, silent] : this->silent_links) {
+    if (now - silent.since > kMaxSilentLinkTime ||
+        !this->options.hooks.has_unrepeatable_calls(id)) {
+      finished.push_back(silent.link);
+    }
+  }
+  for (const LinkPointer& link : finished) {
+    link->Close();
+    this->OnDialledClosed(link, "silent");
+  }
+}
+
+void Mesh::WithdrawHeldCalls(const LinkPointer& link, core::Instant now) {
+  const auto since = link->oldest_unsent_since();
+  if (!since || now - *since < kMaxHeldTime) {
+    return;
+  }
+  for (const std::uint64_t call : link->CallsHeldSince(now - kMaxHeldTime)) {
+    if (link->Withdraw(call)) {
+      this->options.hooks.on_held_back(call, now - *since);
+    }
   }
-  this->options.hooks.on_dialled_closed(link->member);
-  this->ScheduleRedial(link->member, was_established);
 }
 
 void Mesh::ScheduleRedial(const std::string& name, bool reset_backoff) {
@@ -295,6 +438,7 @@
   peer.established = false;
   this->SetReachable(peer, false);
   peer.member.set_is_leaving(true);
+  this->RefreshDigest();
   this->options.hooks.on_removed(name);
   if (!peer.dialled) {
     this->peers.erase(found);
@@ -310,8 +454,48 @@
   this->options.hooks.on_reachable(peer.member.name(), reachable);
 }
 
+void Mesh::CheckPathDelay(Peer& peer, core::Instant now) {
+  core::Duration delay = peer.round_trip;
+  if (peer.ping_id != 0) {
+    delay = std::max(delay, now.time_since_epoch() - peer.ping_sent_at);
+  }
+  if (const auto since = peer.dialled->oldest_unsent_since()) {
+    delay = std::max(delay, now - *since);
+  }
+  if (delay < kNegligiblePathDelay) {
+    delay = core::Duration::zero();
+  }
+  if (delay != peer.path_delay) {
+    peer.path_delay = delay;
+    this->options.hooks.on_path_delay(peer.member.name(), delay);
+  }
+}
+
+void Mesh::CheckPaths() {
+  const core::Instant now = Now();
+  std::vector<LinkPointer> waiting;
+  for (auto& [name, peer] : this->peers) {
+    if (!peer.dialled || !peer.established) {
+      continue;
+    }
+    this->CheckPathDelay(peer, now);
+    if (peer.dialled->oldest_unsent_since()) {
+      waiting.push_back(peer.dialled);
+    }
+  }
+  for (const LinkPointer& link : waiting) {
+    this->WithdrawHeldCalls(link, now);
+  }
+  this->timers.After(kPathCheckPeriod, [this] { this->CheckPaths(); });
+}
+
 void Mesh::CheckLinks() {
-  const core::Instant now = std::chrono::steady_clock::now();
+  const core::Instant now = Now();
+  if (now - this->checked_at > kPauseThreshold) {
+    this->view_current_from = now + kViewRefreshTime;
+  }
+  this->checked_at = now;
+  this->CheckSilentLinks(now);
   std::vector<std::string> removable;
   for (auto& [name, peer] : this->peers) {
     if (!peer.dialled) {
@@ -339,10 +523,7 @@
     peer.last_seen = std::max(peer.last_seen, link->last_received());
     const core::Duration silence = now - link->last_received();
     if (silence > kLinkTimeout) {
-      asio::post(this->context, [this, link] {
-        link->Close();
-        this->OnDialledClosed(link, "silent");
-      });
+      asio::post(this->context, [this, link] { this->RetireSilentLink(link); });
       continue;
     }
     this->SetReachable(peer, silence <= kSuspicionTimeout);
@@ -352,24 +533,55 @@
       peer.ping_id = ++this->last_ping_id;
       peer.ping_sent_at = manifest::TimeSinceBoot();
       frame.mutable_ping()->set_id(peer.ping_id);
+      frame.mutable_ping()->set_wants_data_centre_demand(
+          peer.member.data_centre() != this->self.data_centre() &&
+          this->is_first_of_its_data_centre(name, kDemandSummerRole));
       link->Send(frame);
     }
   }
   for (const std::string& name : removable) {
     this->options.hooks.on_removed(name);
+    if (this->dropped_incarnations.size() >= kMaxDroppedIncarnations) {
+      this->dropped_incarnations.erase(this->dropped_incarnations.begin());
+    }
+    this->dropped_incarnations[name] =
+        this->peers.at(name).member.incarnation();
     this->peers.erase(name);
   }
+  if (!removable.empty()) {
+    this->RefreshDigest();
+  }
   this->timers.After(kLinkCheckPeriod, [this] { this->CheckLinks(); });
 }
 
-bool Mesh::Send(const std::string& member, const mesh::Frame& frame) {
+std::uint64_t Mesh::Send(const std::string& member, const mesh::Frame& frame) {
   const auto found = this->peers.find(member);
   if (found == this->peers.end() || !found->second.dialled ||
       !found->second.dialled->is_open()) {
-    return false;
+    return 0;
   }
   found->second.dialled->Send(frame);
-  return true;
+  return found->second.dialled->id;
+}
+
+bool Mesh::Withdraw(const std::string& member, std::uint64_t link_id,
+                    std::uint64_t call_id) {
+  LinkPointer link;
+  const auto silent = this->silent_links.find(link_id);
+  if (silent != this->silent_links.end()) {
+    link = silent->second.link;
+  } else if (const auto found = this->peers.find(member);
+             found != this->peers.end() && found->second.dialled &&
+             found->second.dialled->id == link_id) {
+    link = found->second.dialled;
+  }
+  if (!link || link->Withdraw(call_id)) {
+    return link != nullptr;
+  }
+  mesh::Frame frame;
+  frame.mutable_cancel()->set_call_id(call_id);
+  link->Send(frame);
+  return false;
 }
 
 void Mesh::Broadcast(const mesh::Frame& frame) {
@@ -411,15 +623,59 @@
 }
 
 bool Mesh::is_first_in_data_centre(std::string_view purpose) const {
+  return this->FirstOf(this->self.data_centre(), purpose) ==
+         this->self.name();
+}
+
+bool Mesh::is_first_of_its_data_centre(const std::string& member,
+                                       std::string_view purpose) const {
+  return this->FirstOf(this->data_centre_of(member), purpose) == member;
+}
+
+const std::string& Mesh::FirstOf(const std::string& data_centre,
+                                 std::string_view purpose) const {
+  const auto key = std::pair(data_centre, std::string(purpose));
+  if (this->first_members_version != this->reachability) {
+    this->first_members_version = this->reachability;
+    this->first_members.clear();
+  }
+  const auto known = this->first_members.find(key);
+  if (known != this->first_members.end()) {
+    return known->second;
+  }
   using core::routing::RendezvousScore;
-  const std::uint64_t own = RendezvousScore(purpose, this->self.name());
-  return std::none_of(
-      this->peers.begin(), this->peers.end(), [&](const auto& entry) {
-        const auto& [name, peer] = entry;
-        return peer.reachable &&
-               peer.member.data_centre() == this->self.data_centre() &&
-               RendezvousScore(purpose, name) > own;
-      });
+  std::string first;
+  std::uint64_t best = 0;
+  const auto consider = [&](const std::string& name) {
+    const std::uint64_t score = RendezvousScore(purpose, name);
+    if (first.empty() || score > best) {
+      best = score;
+      first = name;
+    }
+  };
+  if (data_centre == this->self.data_centre()) {
+    consider(this->self.name());
+  }
+  for (const auto& [name, peer] : this->peers) {
+    if (peer.reachable && peer.member.data_centre() == data_centre) {
+      consider(name);
+    }
+  }
+  return this->first_members.emplace(key, first).first->second;
+}
+
+bool Mesh::is_view_current() const {
+  const core::Instant now = Now();
+  return now - this->checked_at <= kPauseThreshold &&
+         now >= this->view_current_from;
+}
+
+std::uint64_t Mesh::PeerTime(const std::string& member,
+                             core::Instant when) const {
+  const auto found = this->peers.find(member);
+  return found == this->peers.end() || !found->second.dialled
+             ? 0
+             : found->second.dialled->PeerTime(when).value_or(0);
 }
 
 bool Mesh::is_reachable(const std::string& member) const {
--- a/packages/sidecar/src/manifest/manifest_keeper.cpp
+++ b/packages/sidecar/src/manifest/manifest_keeper.cpp
@@ -1,6 +1,6 @@
 #include "lycheewell/sidecar/manifest/manifest_keeper.h"
 
-#include <time.h>
+#include "lycheewell/sidecar/clock.h"
 
 namespace lycheewell::sidecar::manifest {
 using daemon::events::Event;
@@ -25,12 +25,7 @@
 
 }  // namespace
 
-core::Duration TimeSinceBoot() {
-  timespec now{};
-  clock_gettime(CLOCK_BOOTTIME, &now);
-  return std::chrono::seconds(now.tv_sec) +
-         std::chrono::nanoseconds(now.tv_nsec);
-}
+core::Duration TimeSinceBoot() { return Now().time_since_epoch(); }
 
 ManifestKeeper::ManifestKeeper(TimerQueue& new_timers,
                                const DialectHooks& new_dialect,
--- a/packages/sidecar/src/requests/account_limiter.cpp
+++ b/packages/sidecar/src/requests/account_limiter.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "lycheewell/core/routing/rendezvous.h"
+#include "lycheewell/sidecar/clock.h"
 
 namespace lycheewell::sidecar::requests {
 namespace {
@@ -32,7 +33,7 @@
     const std::string& account) {
   return this->account_states
       .try_emplace(account, AccountState{.pool = core::rate::LocalTokenPool(
-                                             std::chrono::steady_clock::now())})
+                                             Now())})
       .first->second;
 }
 
@@ -60,7 +61,7 @@
 
 void AccountLimiter::Return(const core::manifest::Account& account) {
   if (account.rate_per_second > 0) {
-    this->StateOf(account.name).pool.Return(std::chrono::steady_clock::now());
+    this->StateOf(account.name).pool.Return(Now());
   }
 }
 
@@ -70,7 +71,7 @@
     done(true, {});
     return;
   }
-  const core::Instant now = std::chrono::steady_clock::now();
+  const core::Instant now = Now();
   AccountState& state = this->StateOf(account.name);
   state.rate = RateOf(account);
   if (state.waiting.empty() && state.pool.Take(now)) {
@@ -78,6 +79,13 @@
     return;
   }
   const std::string owner_name = this->OwnerOf(account.name);
+  if (owner_name == this->mesh.self_name() && !this->mesh.is_view_current()) {
+    // While this daemon was paused or not running, another one may have become
+    // the owner.
+    const bool allowed = this->TakeFallback(state, now);
+    done(allowed, allowed ? core::Duration::zero() : this->RetryAfter(state));
+    return;
+  }
   if (owner_name == this->mesh.self_name()) {
     const int granted =
         this->owned_buckets.Grant(account.name, kSelfGrantAmount, state.rate,
@@ -114,7 +122,10 @@
   const int amount =
       static_cast<int>(state.waiting.size()) + state.pool.PrefetchAmount();
   TokenRequest& request = this->token_requests[request_id];
-  request = {.account = account, .owner = owner_name, .amount = amount};
+  request = {.account = account,
+             .owner = owner_name,
+             .amount = amount,
+             .sent_at = Now()};
   state.request_id = request_id;
   mesh::Frame frame;
   frame.mutable_token_ask()->set_ask_id(request_id);
@@ -136,13 +147,13 @@
   mesh::Frame frame;
   mesh::TokenGrant& grant = *frame.mutable_token_grant();
   grant.set_ask_id(request.ask_id());
-  if (account == nullptr ||
+  if (account == nullptr || !this->mesh.is_view_current() ||
       this->OwnerOf(account->name) != this->mesh.self_name()) {
     grant.set_is_not_keeper(true);
   } else {
     const int granted = this->owned_buckets.Grant(
         account->name, static_cast<int>(request.amount()), RateOf(*account),
-        this->mesh.reachable_fraction(), std::chrono::steady_clock::now());
+        this->mesh.reachable_fraction(), Now());
     grant.set_amount(static_cast<std::uint32_t>(granted));
   }
   link->Send(frame);
@@ -153,7 +164,9 @@
   if (found == this->token_requests.end()) {
     return;  // the request has timed out; the granted tokens are discarded
   }
-  if (grant.is_not_keeper()) {
+  // After a pause, an answer may be read before the timer has run.
+  if (grant.is_not_keeper() ||
+      Now() - found->second.sent_at > kTokenRequestTimeout) {
     this->FallBack(grant.ask_id());
     return;
   }
@@ -162,8 +175,9 @@
   this->token_requests.erase(found);
   AccountState& state = this->StateOf(request.account);
   state.request_id = 0;
-  const core::Instant now = std::chrono::steady_clock::now();
-  state.pool.AddGrant(static_cast<int>(grant.amount()), request.amount, now);
+  const core::Instant now = Now();
+  state.pool.AddGrant(static_cast<int>(grant.amount()), request.amount,
+                      request.sent_at, now);
   const bool is_empty = static_cast<int>(grant.amount()) < request.amount;
   std::deque<Waiting> waiting;
   std::swap(waiting, state.waiting);
@@ -183,6 +197,10 @@
   this->RequestTokens(request.account, after);
 }
 
+bool AccountLimiter::TakeFallback(AccountState& state, core::Instant now) {
+  return state.pool.TakeFallback(state.rate, this->mesh.daemon_count(), now);
+}
+
 void AccountLimiter::FallBack(std::uint64_t request_id) {
   const auto found = this->token_requests.find(request_id);
   if (found == this->token_requests.end()) {
@@ -196,9 +214,7 @@
   std::deque<Waiting> waiting;
   std::swap(waiting, state.waiting);
   for (Waiting& entry : waiting) {
-    const bool allowed =
-        state.pool.TakeFallback(state.rate, this->mesh.daemon_count(),
-                                std::chrono::steady_clock::now());
+    const bool allowed = this->TakeFallback(state, Now());
     entry.done(allowed,
                allowed ? core::Duration::zero() : this->RetryAfter(state));
   }
--- a/packages/sidecar/src/requests/frontend.cpp
+++ b/packages/sidecar/src/requests/frontend.cpp
@@ -4,6 +4,8 @@
 #include <charconv>
 #include <cmath>
 
+#include "lycheewell/sidecar/clock.h"
+
 namespace lycheewell::sidecar::requests {
 using core::manifest::Route;
 using core::routing::Distance;
@@ -106,6 +108,7 @@
   bool holds_token = false;  // of its account's rate
   int attempts = 0;          // sends that reached or may have reached a target
   int refusals = 0;          // answers that the request was not run
+  bool may_have_run = false;  // an attempt ended without an answer
   std::set<std::string> excluded;
   TimerQueue::Id timer = 0;
   // The current attempt.
@@ -113,6 +116,7 @@
   std::string instance;
   Gate::Ticket ticket = 0;
   std::uint64_t call_id = 0;
+  std::uint64_t link_id = 0;  // 0: the target is beside this daemon
   bool is_closed = false;
 };
 
@@ -121,7 +125,7 @@
     : timers(new_timers),
       log(new_log),
       options(new_options),
-      demand_model(std::chrono::steady_clock::now()),
+      demand_model(Now()),
       generator(std::random_device{}()),
       random([this] { return this->generator(); }) {}
 
@@ -140,7 +144,7 @@
 void Frontend::Serve(http::ExchangePointer exchange) {
   const auto pending = std::make_shared<Pending>();
   pending->exchange = std::move(exchange);
-  pending->arrived_at = std::chrono::steady_clock::now();
+  pending->arrived_at = Now();
   pending->table = this->options.manifest.table();
   ++this->open;
   auto decoded =
@@ -270,7 +274,7 @@
         Event::kCallAbandoned,
         {{"request", pending->request.id},
          {"service", pending->service},
-         {"after_ms", MillisecondsText(std::chrono::steady_clock::now() -
+         {"after_ms", MillisecondsText(Now() -
                                        pending->arrived_at)}});
     this->options.counters.Count("requests", "client left");
     this->CancelCall(pending);
@@ -298,7 +302,7 @@
 }
 
 void Frontend::Dispatch(const PendingPointer& pending) {
-  const core::Instant now = std::chrono::steady_clock::now();
+  const core::Instant now = Now();
   if (pending->service.empty()) {
     const Route& route = *pending->route;
     if (route.destinations.empty()) {
@@ -315,8 +319,9 @@
     this->OnTimeout(pending);
     return;
   }
-  const auto choice = this->targets.Choose(pending->service, pending->excluded,
-                                           now, this->random);
+  const auto choice = this->targets.Choose(
+      pending->service, pending->excluded, now, this->random,
+      pending->exchange->request().body().size());
   if (!choice) {
     this->Refuse(pending, 503, "no target", kNotReadyRetryAfter);
     return;
@@ -333,10 +338,11 @@
 
 void Frontend::SendTo(const PendingPointer& pending,
                       const core::routing::Choice& choice) {
-  const core::Instant now = std::chrono::steady_clock::now();
+  const core::Instant now = Now();
   const io::http::Request& message = pending->exchange->request();
   pending->member = choice.member;
   pending->instance = choice.instance;
+  pending->link_id = 0;
   this->targets.RecordSent(choice.member);
   std::string lines =
       pending->request.header_lines +
@@ -389,8 +395,10 @@
   call.set_origin(pending->origin);
   call.set_was_refused(pending->refusals > 0);
   call.set_is_idempotent(pending->route->is_idempotent);
+  call.set_sent_at_us(this->options.mesh.PeerTime(choice.member, now));
   this->remote_calls.emplace(pending->call_id, pending);
-  if (!this->options.mesh.Send(choice.member, frame)) {
+  pending->link_id = this->options.mesh.Send(choice.member, frame);
+  if (pending->link_id == 0) {
     this->remote_calls.erase(pending->call_id);
     this->OnOutcome(pending, {.outcome = Outcome::kNotRun,
                               .reason = "no link to the target's daemon"});
@@ -405,7 +413,7 @@
        .waiting = static_cast<int>(load.waiting()),
        .mean_work = std::chrono::microseconds(load.mean_work_us()),
        .failed_fraction = load.failing_permille() / kPermille},
-      std::chrono::steady_clock::now());
+      Now());
 }
 
 void Frontend::OnReply(const std::string& member, mesh::Reply& reply) {
@@ -433,22 +441,65 @@
        .is_starved = reply.is_starved()});
 }
 
-void Frontend::OnLinkLost(const std::string& member) {
-  std::vector<PendingPointer> lost;
+std::vector<Frontend::PendingPointer> Frontend::CallsOn(
+    std::uint64_t link_id, bool only_idempotent) const {
+  std::vector<PendingPointer> calls;
   for (const auto& [id, pending] : this->remote_calls) {
-    if (pending->member == member) {
-      lost.push_back(pending);
+    if (pending->link_id == link_id &&
+        (!only_idempotent || pending->route->is_idempotent)) {
+      calls.push_back(pending);
     }
   }
-  for (const PendingPointer& pending : lost) {
+  return calls;
+}
+
+void Frontend::OnLinkLost(std::uint64_t link_id) {
+  constexpr bool kOnlyIdempotent = false;
+  for (const PendingPointer& pending : this->CallsOn(link_id, kOnlyIdempotent)) {
     this->remote_calls.erase(pending->call_id);
     this->OnOutcome(pending, {.outcome = Outcome::kMayHaveRun,
                               .reason = "link to the target's daemon lost"});
   }
 }
 
+void Frontend::OnLinkSilent(std::uint64_t link_id) {
+  constexpr bool kOnlyIdempotent = true;
+  for (const PendingPointer& pending : this->CallsOn(link_id, kOnlyIdempotent)) {
+    this->options.mesh.Withdraw(pending->member, link_id, pending->call_id);
+    this->remote_calls.erase(pending->call_id);
+    this->OnOutcome(pending, {.outcome = Outcome::kMayHaveRun,
+                              .reason = "the target's daemon is silent"});
+  }
+}
+
+bool Frontend::has_unrepeatable_calls(std::uint64_t link_id) const {
+  return std::any_of(this->remote_calls.begin(), this->remote_calls.end(),
+                     [&](const auto& call) {
+                       return call.second->link_id == link_id &&
+                              !call.second->route->is_idempotent;
+                     });
+}
+
+void Frontend::OnHeldBack(std::uint64_t call_id, core::Duration held_for) {
+  const auto found = this->remote_calls.find(call_id);
+  if (found == this->remote_calls.end()) {
+    return;
+  }
+  const PendingPointer pending = found->second;
+  this->remote_calls.erase(found);
+  this->log.Write(Event::kCallHeldBack,
+                  {{"request", pending->request.id},
+                   {"route", pending->route->name},
+                   {"member", pending->member},
+                   {"held_ms", MillisecondsText(held_for)}});
+  this->options.counters.Count("calls_held_back", pending->member);
+  this->options.counters.Observe("held_back", held_for);
+  this->OnOutcome(pending, {.outcome = Outcome::kNotRun,
+                            .reason = "the link to the target is too slow"});
+}
+
 void Frontend::OnOutcome(const PendingPointer& pending, GateReply reply) {
-  const core::Instant now = std::chrono::steady_clock::now();
+  const core::Instant now = Now();
   this->targets.RecordDone(pending->member);
   pending->call_id = 0;
   if (reply.outcome == Outcome::kAnswered) {
@@ -481,6 +532,7 @@
     return;
   }
   ++pending->attempts;
+  pending->may_have_run = true;
   pending->excluded.insert(pending->member);
   const bool may_retry = pending->route->is_idempotent &&
                          pending->attempts < pending->route->max_attempts &&
@@ -498,7 +550,7 @@
 }
 
 void Frontend::OnNotRun(const PendingPointer& pending, const GateReply& reply) {
-  const core::Instant now = std::chrono::steady_clock::now();
+  const core::Instant now = Now();
   ++pending->refusals;
   pending->excluded.insert(pending->member);
   this->targets.RecordRefusal(pending->member, reply.retry_after, now);
@@ -516,7 +568,8 @@
   const auto choice =
       may_try_other_target
           ? this->targets.Choose(pending->service, pending->excluded, now,
-                                 this->random)
+                                 this->random,
+                                 pending->exchange->request().body().size())
           : std::nullopt;
   if (!choice || now + choice->expected_wait > pending->soft_deadline) {
     this->Refuse(pending, 503, reply.reason,
@@ -537,8 +590,7 @@
     return;
   }
   this->timers.Cancel(pending->timer);
-  const bool was_sent = pending->call_id != 0 || pending->attempts > 0;
-  this->CancelCall(pending);
+  const bool was_sent = this->CancelCall(pending) || pending->attempts > 0;
   if (was_sent) {
     this->Fail(pending, 504, "time limit passed");
   } else {
@@ -546,23 +598,24 @@
   }
 }
 
-void Frontend::CancelCall(const PendingPointer& pending) {
+bool Frontend::CancelCall(const PendingPointer& pending) {
   if (pending->call_id == 0) {
-    return;
+    return false;
   }
+  bool may_have_run = true;
   this->targets.RecordDone(pending->member);
   if (pending->member == this->options.mesh.self_name()) {
     if (pending->ticket != 0) {
-      this->options.gate.Cancel(pending->ticket);
+      may_have_run = !this->options.gate.Cancel(pending->ticket);
     }
   } else {
     this->remote_calls.erase(pending->call_id);
-    mesh::Frame frame;
-    frame.mutable_cancel()->set_call_id(pending->call_id);
-    this->options.mesh.Send(pending->member, frame);
+    may_have_run = !this->options.mesh.Withdraw(
+        pending->member, pending->link_id, pending->call_id);
   }
   pending->call_id = 0;
   pending->ticket = 0;
+  return may_have_run;
 }
 
 bool Frontend::IsCallByTarget(const PendingPointer& pending) {
@@ -572,7 +625,7 @@
 
 void Frontend::RecordStarvedCall(const PendingPointer& pending) {
   if (IsCallByTarget(pending)) {
-    this->starved_call_at = std::chrono::steady_clock::now();
+    this->starved_call_at = Now();
   }
 }
 
@@ -580,15 +633,20 @@
                                 unsigned status) {
   constexpr unsigned kFirstFailure = 429;
   if (status >= kFirstFailure && IsCallByTarget(pending)) {
-    this->failed_call_at = std::chrono::steady_clock::now();
+    this->failed_call_at = Now();
   }
 }
 
 void Frontend::Refuse(const PendingPointer& pending, unsigned status,
                       std::string_view reason, core::Duration retry_after) {
-  const core::Instant now = std::chrono::steady_clock::now();
+  const core::Instant now = Now();
   constexpr unsigned kTooMany = 429;
   constexpr unsigned kUnavailable = 503;
+  if (pending->may_have_run) {
+    // A refusal would say that the request has not run.
+    this->Fail(pending, 502, reason);
+    return;
+  }
   if (this->log.WouldWrite(Event::kCallRefused)) {
     const auto age = this->options.manifest.proof_age();
     this->log.Write(
@@ -628,7 +686,7 @@
 
 void Frontend::Fail(const PendingPointer& pending, unsigned status,
                     std::string_view reason) {
-  const core::Instant now = std::chrono::steady_clock::now();
+  const core::Instant now = Now();
   this->log.Write(Event::kCallFailed,
                   {{"request", pending->request.id},
                    {"status", std::to_string(status)},
--- a/packages/sidecar/src/requests/gate.cpp
+++ b/packages/sidecar/src/requests/gate.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "lycheewell/io/http/address.h"
+#include "lycheewell/sidecar/clock.h"
 
 namespace lycheewell::sidecar::requests {
 using daemon::events::Event;
@@ -44,7 +45,10 @@
 // if it has taken this many times its route's mean work.
 constexpr int kOverdueFactor = 4;
 
-constexpr std::size_t kMaxRetiredStarts = 64;
+// Memory for request bodies and for answer bodies. Bodies up to
+// http::BodyAllowance::kFreeBytes do not count.
+constexpr std::size_t kRequestBodyBytes = 16ULL * 1024 * 1024;
+constexpr std::size_t kAnswerBodyBytes = 24ULL * 1024 * 1024;
 
 std::string_view StateName(TargetState state) {
   switch (state) {
@@ -88,20 +92,31 @@
       log(new_log),
       options(std::move(new_options)),
       target_endpoint(
-          io::http::ParseEndpoint(this->options.settings.target_address)) {
+          io::http::ParseEndpoint(this->options.settings.target_address)),
+      request_bodies(std::make_shared<http::ByteBudget>(kRequestBodyBytes)),
+      answer_bodies(std::make_shared<http::ByteBudget>(kAnswerBodyBytes)) {
   this->CheckAnnouncements();
 }
 
 bool Gate::accepts_work() const {
-  return this->state == TargetState::kTakesWork && !this->draining;
+  // After a pause of the daemon, the timer that notices missed announcements
+  // may not have run yet.
+  return this->state == TargetState::kTakesWork && !this->draining &&
+         Now() - this->announced_at <= this->AnnouncementTimeout();
 }
 
 Gate::Ticket Gate::Submit(GateCall call, Callback done) {
   const Ticket ticket = ++this->last_ticket;
-  const core::Instant now = std::chrono::steady_clock::now();
+  const core::Instant now = Now();
   Call& entry = this->calls[ticket];
   entry.request = std::move(call);
   entry.done = std::move(done);
+  entry.body_allowance =
+      std::make_unique<http::BodyAllowance>(this->request_bodies);
+  if (!entry.body_allowance->Grow(entry.request.body.size())) {
+    this->Refuse(ticket, "no memory for the body", kMinRetryAfter);
+    return ticket;
+  }
   if (!this->accepts_work()) {
     this->Refuse(ticket, "target does not take work", kNoRetryDelay);
     return ticket;
@@ -141,7 +156,7 @@
 
 std::shared_ptr<http::ClientConnection> Gate::TakeConnection(
     bool is_idempotent) {
-  const core::Instant now = std::chrono::steady_clock::now();
+  const core::Instant now = Now();
   while (!this->idle_connections.empty()) {
     auto connection = std::move(this->idle_connections.back());
     this->idle_connections.pop_back();
@@ -165,15 +180,15 @@
     this->idle_connections.push_back(std::move(connection));
     break;
   }
-  return std::make_shared<http::ClientConnection>(this->context,
-                                                  this->target_endpoint);
+  return std::make_shared<http::ClientConnection>(
+      this->context, this->target_endpoint, this->answer_bodies);
 }
 
 // Closes the oldest connections beyond the number of slots: idle connections
 // count towards the target's connection limit, too.
 void Gate::ReturnConnection(
     std::shared_ptr<http::ClientConnection> connection) {
-  const core::Instant now = std::chrono::steady_clock::now();
+  const core::Instant now = Now();
   this->idle_connections.push_back(std::move(connection));
   while (this->idle_connections.size() >
              static_cast<std::size_t>(this->slots.slots()) ||
@@ -189,7 +204,7 @@
 
 void Gate::Run(Ticket ticket) {
   Call& call = this->calls.at(ticket);
-  const core::Instant now = std::chrono::steady_clock::now();
+  const core::Instant now = Now();
   call.is_running = true;
   call.started_at = now;
   this->tracker.Begin(ticket, call.request.route,
@@ -296,7 +311,7 @@
     return;
   }
   Call& call = found->second;
-  const core::Instant now = std::chrono::steady_clock::now();
+  const core::Instant now = Now();
   this->timers.Cancel(call.timer);
   call.is_running = false;
   this->ReleaseSlot(ticket, call, now);
@@ -387,7 +402,7 @@
 
 void Gate::DispatchWaiting() {
   const auto dispatched =
-      this->slots.Dispatch(std::chrono::steady_clock::now());
+      this->slots.Dispatch(Now());
   for (const Ticket ticket : dispatched.run) {
     this->Run(ticket);
   }
@@ -413,24 +428,24 @@
   });
 }
 
-void Gate::Cancel(Ticket ticket) {
+bool Gate::Cancel(Ticket ticket) {
   const auto found = this->calls.find(ticket);
   if (found == this->calls.end()) {
-    return;
+    return false;
   }
   Call& call = found->second;
   if (!call.is_running) {
     this->slots.Remove(ticket);
     this->calls.erase(found);
-    return;
+    return true;
   }
   if (!call.request.is_idempotent) {
     call.is_abandoned = true;
-    return;
+    return false;
   }
   this->timers.Cancel(call.timer);
   call.connection->Abort();
-  const core::Instant now = std::chrono::steady_clock::now();
+  const core::Instant now = Now();
   const core::Duration usual = this->MeanWorkOf(call.request.route);
   if (usual > core::Duration::zero() &&
       now - call.started_at > usual * kOverdueFactor) {
@@ -441,6 +456,7 @@
   this->slots.Finish(core::Duration::zero(), kIsSample);
   this->calls.erase(found);
   this->DispatchWaiting();
+  return false;
 }
 
 void Gate::RefuseWaiting(std::string_view reason) {
@@ -483,9 +499,6 @@
   if (start.empty()) {
     return;
   }
-  if (this->retired.size() >= kMaxRetiredStarts) {
-    this->retired.erase(this->retired.begin());
-  }
   this->retired.insert(start);
   if (start == StartName(this->target) &&
       this->state == TargetState::kTakesWork) {
@@ -512,7 +525,7 @@
     return;
   }
   const std::string start = StartName(announcement);
-  const core::Instant now = std::chrono::steady_clock::now();
+  const core::Instant now = Now();
   // The known start has missed an announcement. Another one may have replaced
   // it, even if its clock makes it look older.
   const bool is_current_overdue =
@@ -561,12 +574,14 @@
   this->DispatchWaiting();
 }
 
+core::Duration Gate::AnnouncementTimeout() const {
+  return this->options.settings.announcement_period * kMaxMissedAnnouncements +
+         kAnnouncementMargin;
+}
+
 void Gate::CheckAnnouncements() {
-  const core::Duration limit =
-      this->options.settings.announcement_period * kMaxMissedAnnouncements +
-      kAnnouncementMargin;
   if (this->state == TargetState::kTakesWork &&
-      std::chrono::steady_clock::now() - this->announced_at > limit) {
+      Now() - this->announced_at > this->AnnouncementTimeout()) {
     this->SetState(TargetState::kGone, "no announcement");
   }
   this->timers.After(this->options.settings.announcement_period,
@@ -586,7 +601,7 @@
   load.set_mean_work_us(Microseconds(this->slots.mean_work()));
   constexpr double kPermille = 1000.0;
   load.set_failing_permille(static_cast<std::uint32_t>(
-      kPermille * this->failures.Fraction(std::chrono::steady_clock::now())));
+      kPermille * this->failures.Fraction(Now())));
   return load;
 }
 
@@ -604,7 +619,7 @@
     description.set_state(this->state == TargetState::kGone ? mesh::GONE
                                                             : mesh::LEAVING);
   }
-  const auto cold = this->cold_until - std::chrono::steady_clock::now();
+  const auto cold = this->cold_until - Now();
   description.set_cold_ms(
       static_cast<std::uint32_t>(Microseconds(cold) / 1000));
   *description.mutable_load() = this->DescribeLoad();
--- a/packages/sidecar/src/settings.cpp
+++ b/packages/sidecar/src/settings.cpp
@@ -82,6 +82,13 @@
     return std::get<core::Duration>(parsed);
   }
 
+  // A port that may be left out.
+  std::uint16_t PortOr(std::initializer_list<std::string_view> path,
+                       std::uint16_t fallback) {
+    const json::value* value = this->Find(path);
+    return value == nullptr || value->is_null() ? fallback : this->Port(path);
+  }
+
   double Number(std::initializer_list<std::string_view> path, double fallback) {
     const json::value* value = this->Find(path);
     if (value == nullptr || value->is_null()) {
@@ -169,6 +176,7 @@
   }
   Reader reader(section->get_object(), problems);
   const BoundSettings defaults;
+  const std::uint16_t links_port = reader.Port({"links_port"});
   Settings settings{
       .name = reader.Text({"name"}),
       .data_centre = reader.Text({"data_centre"}),
@@ -178,7 +186,9 @@
       .readiness_address = reader.Address({"readiness_address"}),
       .target_address = reader.Address({"target", "address"}),
       .target_service = reader.Text({"target", "service"}),
-      .links_port = reader.Port({"links_port"}),
+      .links_port = links_port,
+      .advertised_links_port =
+          reader.PortOr({"advertised_links_port"}, links_port),
       .metrics_port = reader.Port({"metrics_port"}),
       .store_address = reader.Address({"store", "address"}),
       .announcement_period = reader.Time({"target", "announcement_period"},
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -6,7 +6,10 @@
 #include <fstream>
 #include <sstream>
 
+#include "lycheewell/core/membership/retired_starts.h"
+#include "lycheewell/core/overload/demand_sums.h"
 #include "lycheewell/io/http/address.h"
+#include "lycheewell/sidecar/clock.h"
 #include "lycheewell/sidecar/counters.h"
 #include "lycheewell/sidecar/decision_log.h"
 #include "lycheewell/sidecar/http/server.h"
@@ -60,6 +63,16 @@
 // several reports.
 constexpr core::Duration kDemandReportRetention = std::chrono::seconds(5);
 
+// A call that took longer from daemon to daemon is logged.
+constexpr core::Duration kLongTransit = std::chrono::milliseconds(250);
+
+// Memory for the bodies of requests that have not been answered.
+constexpr std::size_t kRequestBodyBytes = 16ULL * 1024 * 1024;
+
+// Largest body of a request, whatever the manifest allows. A larger one is
+// refused with status 413.
+constexpr std::uint64_t kMaxBodyBytes = 8ULL * 1024 * 1024;
+
 std::uint64_t Microseconds(core::Duration duration) {
   return static_cast<std::uint64_t>(
       std::chrono::duration_cast<std::chrono::microseconds>(duration).count());
@@ -170,7 +183,8 @@
                   this->log.Write(
                       Event::kBadHttpRequest,
                       {{"status", std::to_string(status)}, {"reason", reason}});
-                }};
+                },
+            .body_budget = this->request_bodies};
   }
 
   http::ServerLimits Limits() const {
@@ -180,7 +194,7 @@
     }
     const core::manifest::ClientLimits& limits = table->manifest().limits;
     return {.header_bytes = limits.header_bytes,
-            .body_bytes = limits.body_bytes,
+            .body_bytes = std::min(limits.body_bytes, kMaxBodyBytes),
             .header_timeout = limits.header_timeout,
             .idle_timeout = limits.idle_timeout};
   }
@@ -198,24 +212,39 @@
               this->front.selector().SetReachable(member, is_reachable);
             },
         .on_dialled_closed =
-            [this](const std::string& member) {
-              this->front.OnLinkLost(member);
+            [this](const std::string& member, std::uint64_t link_id) {
+              this->front.OnLinkLost(link_id);
               this->accounts.OnLinkLost(member);
             },
+        .on_silent =
+            [this](const std::string& member, std::uint64_t link_id) {
+              this->front.OnLinkSilent(link_id);
+              this->accounts.OnLinkLost(member);
+            },
+        .has_unrepeatable_calls =
+            [this](std::uint64_t link_id) {
+              return this->front.has_unrepeatable_calls(link_id);
+            },
+        .on_held_back =
+            [this](std::uint64_t call_id, core::Duration held_for) {
+              this->front.OnHeldBack(call_id, held_for);
+            },
         .on_accepted_closed =
             [this](const links::LinkPointer& link) { this->DropCalls(link); },
+        .on_path_delay =
+            [this](const std::string& member, core::Duration delay) {
+              this->front.selector().SetPathDelay(member, delay);
+            },
         .on_removed =
             [this](const std::string& member) {
               this->front.selector().Remove(member);
             },
         .fill_hello =
-            [this](mesh::Hello& hello) {
+            [this](mesh::Hello& hello, const std::string& receiver) {
               *hello.mutable_target() = this->gate.DescribeTarget();
               hello.set_manifest_version(this->manifest.version());
-              for (const std::string& start : this->gate.retired_starts()) {
-                hello.add_retired_starts(start);
-              }
-              for (const std::string& start : this->retired_peer_targets) {
+              for (const std::string& start :
+                   this->retired_starts.StartsBeside(receiver)) {
                 hello.add_retired_starts(start);
               }
             },
@@ -246,7 +275,7 @@
   }
 
   void RequestManifest(const std::string& member) {
-    const core::Instant now = std::chrono::steady_clock::now();
+    const core::Instant now = Now();
     if (now - this->manifest_requested_at < kManifestRequestInterval) {
       return;
     }
@@ -257,12 +286,16 @@
   }
 
   void PutTarget(const std::string& member, const mesh::Target& target) {
-    const core::Instant now = std::chrono::steady_clock::now();
+    const core::Instant now = Now();
     if (target.instance().empty() || target.slots() == 0) {
       this->front.selector().Remove(member);
       return;
     }
-    this->RecordRetired(target);
+    if (target.state() == mesh::LEAVING) {
+      this->retired_starts.Record(
+          member,
+          target.instance() + "@" + std::to_string(target.born_ms()));
+    }
     Distance distance = Distance::kSameVm;
     if (member != this->options.settings.name) {
       distance = this->mesh.data_centre_of(member) ==
@@ -286,17 +319,6 @@
     this->ReportLoad(member, target.load());
   }
 
-  // Keeps a leaving target from getting work again after its daemon restarts:
-  // this daemon tells the restarted one in its Hello.
-  void RecordRetired(const mesh::Target& target) {
-    constexpr std::size_t kMaxRetired = 256;
-    if (target.state() == mesh::LEAVING &&
-        this->retired_peer_targets.size() < kMaxRetired) {
-      this->retired_peer_targets.insert(target.instance() + "@" +
-                                        std::to_string(target.born_ms()));
-    }
-  }
-
   void ReportLoad(const std::string& member, const mesh::Load& load) {
     this->front.ReportLoad(member, load);
   }
@@ -356,8 +378,28 @@
     }
   }
 
+  static core::Duration TransitTime(const mesh::Call& call,
+                                    core::Instant arrived_at) {
+    if (call.sent_at_us() == 0) {
+      return {};
+    }
+    const core::Instant sent_at{std::chrono::microseconds(call.sent_at_us())};
+    return std::max(core::Duration::zero(), arrived_at - sent_at);
+  }
+
   void OnCall(const links::LinkPointer& link, mesh::Call& call) {
-    const core::Instant now = std::chrono::steady_clock::now();
+    // The time limits count from when the call was sent: it may have been held
+    // up on the link, or unread while this daemon was paused.
+    const core::Instant arrived_at = Now();
+    const core::Duration transit = TransitTime(call, arrived_at);
+    const core::Instant now = arrived_at - transit;
+    this->counters.Observe("call_transit", transit);
+    if (transit > kLongTransit) {
+      this->log.Write(Event::kCallArrivedLate,
+                      {{"request", call.request_id()},
+                       {"member", link->member},
+                       {"transit_ms", std::to_string(Milliseconds(transit))}});
+    }
     const std::uint64_t call_id = call.call_id();
     auto& tickets = this->tickets_by_link[link.get()];
     tickets[call_id] = 0;
@@ -443,22 +485,65 @@
     const auto age = this->manifest.proof_age();
     pong.set_proof_age_ms(age ? Milliseconds(*age) + 1 : kNeverProven);
     *pong.mutable_load() = this->gate.DescribeLoad();
-    const core::Instant now = std::chrono::steady_clock::now();
-    for (const auto& [route, demand] : this->RefreshDemand(now)) {
-      if (now - demand.changed_at < kDemandReportRetention) {
-        mesh::RouteDemand& reported = *pong.add_demand();
-        reported.set_route(route);
-        reported.set_offered(demand.counts.offered);
-        reported.set_entered(demand.counts.entered);
-        reported.set_work_us(Microseconds(demand.counts.work));
-        reported.set_unmet_us(Microseconds(demand.counts.unmet));
-        reported.set_ended(demand.counts.ended);
-        reported.set_starved(demand.counts.starved);
+    pong.set_clock_us(ClockMicroseconds());
+    pong.set_members_digest(this->mesh.members_digest());
+    if (this->mesh.data_centre_of(link->member) ==
+        this->options.settings.data_centre) {
+      const core::Instant now = Now();
+      for (const auto& [route, demand] : this->RefreshDemand(now)) {
+        if (now - demand.changed_at < kDemandReportRetention) {
+          EncodeDemand(route, demand.counts, *pong.add_demand());
+        }
+      }
+    }
+    if (ping.wants_data_centre_demand()) {
+      for (const auto& [service, routes] : this->data_centre_demand.totals()) {
+        mesh::ServiceDemand& sums = *pong.add_data_centre_demand();
+        sums.set_service(service);
+        for (const auto& [route, counts] : routes) {
+          EncodeDemand(route, counts, *sums.add_demand());
+        }
       }
     }
     link->Send(frame);
   }
 
+  static void EncodeDemand(const std::string& route,
+                           const core::overload::RouteDemand& counts,
+                           mesh::RouteDemand& encoded) {
+    encoded.set_route(route);
+    encoded.set_offered(counts.offered);
+    encoded.set_entered(counts.entered);
+    encoded.set_work_us(Microseconds(counts.work));
+    encoded.set_unmet_us(Microseconds(counts.unmet));
+    encoded.set_ended(counts.ended);
+    encoded.set_starved(counts.starved);
+  }
+
+  template <typename Reports>
+  static std::map<std::string, core::overload::RouteDemand> DecodeDemand(
+      const Reports& reports) {
+    std::map<std::string, core::overload::RouteDemand> demand;
+    for (const mesh::RouteDemand& reported : reports) {
+      demand[reported.route()] = {
+          .offered = reported.offered(),
+          .entered = reported.entered(),
+          .work = std::chrono::microseconds(reported.work_us()),
+          .unmet = std::chrono::microseconds(reported.unmet_us()),
+          .ended = reported.ended(),
+          .starved = reported.starved()};
+    }
+    return demand;
+  }
+
+  // Takes the counters of one daemon of this data centre.
+  void ReportDemand(
+      const std::string& member, const std::string& service,
+      const std::map<std::string, core::overload::RouteDemand>& demand) {
+    this->front.demand().Report(member, service, demand);
+    this->data_centre_demand.Report(member, service, demand);
+  }
+
   struct LocalDemand {
     core::overload::RouteDemand counts;
     core::Instant changed_at;
@@ -487,18 +572,16 @@
 
   void OnPong(const links::LinkPointer& link, const mesh::Pong& pong) {
     this->ReportLoad(link->member, pong.load());
-    const std::string service = this->front.selector().ServiceOf(link->member);
-    std::map<std::string, core::overload::RouteDemand> demand;
-    for (const mesh::RouteDemand& reported : pong.demand()) {
-      demand[reported.route()] = {
-          .offered = reported.offered(),
-          .entered = reported.entered(),
-          .work = std::chrono::microseconds(reported.work_us()),
-          .unmet = std::chrono::microseconds(reported.unmet_us()),
-          .ended = reported.ended(),
-          .starved = reported.starved()};
+    if (this->mesh.data_centre_of(link->member) ==
+        this->options.settings.data_centre) {
+      this->ReportDemand(link->member,
+                         this->front.selector().ServiceOf(link->member),
+                         DecodeDemand(pong.demand()));
+    }
+    for (const mesh::ServiceDemand& sums : pong.data_centre_demand()) {
+      this->front.demand().Report(link->member + "/" + sums.service(),
+                                  sums.service(), DecodeDemand(sums.demand()));
     }
-    this->front.demand().Report(link->member, service, demand);
     if (pong.manifest_version() > this->manifest.version()) {
       this->RequestManifest(link->member);
     }
@@ -580,11 +663,11 @@
   void ReportLocalDemand() {
     std::map<std::string, core::overload::RouteDemand> own;
     for (const auto& [route, demand] :
-         this->RefreshDemand(std::chrono::steady_clock::now())) {
+         this->RefreshDemand(Now())) {
       own[route] = demand.counts;
     }
-    this->front.demand().Report(this->options.settings.name,
-                                this->options.settings.target_service, own);
+    this->ReportDemand(this->options.settings.name,
+                       this->options.settings.target_service, own);
     this->timers.After(kLocalDemandReportPeriod,
                        [this] { this->ReportLocalDemand(); });
   }
@@ -638,14 +721,14 @@
       this->gate.BeginDrain();
       this->mesh.AnnounceLeaving();
     });
-    const core::Instant now = std::chrono::steady_clock::now();
+    const core::Instant now = Now();
     this->CheckStopped(
         now + kServeAfterStop,
         now + this->options.settings.bounds.stop_grace - kStopGraceMargin);
   }
 
   void CheckStopped(core::Instant serve_until, core::Instant end) {
-    const core::Instant now = std::chrono::steady_clock::now();
+    const core::Instant now = Now();
     if (now >= serve_until) {
       this->client_server.Close();
     }
@@ -663,6 +746,9 @@
   }
 
   SidecarOptions options;
+  // Bodies of the requests that this daemon has read and not yet answered.
+  http::ByteBudgetPointer request_bodies =
+      std::make_shared<http::ByteBudget>(kRequestBodyBytes);
   asio::io_context context;
   TimerQueue timers;
   DecisionLog log;
@@ -682,10 +768,12 @@
   std::map<const links::Link*,
            std::unordered_map<std::uint64_t, requests::Gate::Ticket>>
       tickets_by_link;
-  // Leaving targets of peers, as "instance@born_ms".
-  std::set<std::string> retired_peer_targets;
+  // Keeps a leaving target from getting work again after its daemon restarts:
+  // this daemon tells the restarted one in its Hello.
+  core::membership::RetiredStarts retired_starts;
   core::Instant manifest_requested_at;
   std::map<std::string, LocalDemand> local_demand;  // by route
+  core::overload::DemandSums data_centre_demand;
   bool stopping = false;
   bool was_ready = false;
 };
--- a/packages/sidecar/src/timer_queue.cpp
+++ b/packages/sidecar/src/timer_queue.cpp
@@ -1,5 +1,9 @@
 #include "lycheewell/sidecar/timer_queue.h"
 
+#include <algorithm>
+
+#include "lycheewell/sidecar/clock.h"
+
 namespace lycheewell::sidecar {
 
 TimerQueue::Id TimerQueue::At(core::Instant when,
@@ -13,7 +17,7 @@
 
 TimerQueue::Id TimerQueue::After(core::Duration delay,
                                  std::function<void()> action) {
-  return this->At(std::chrono::steady_clock::now() + delay, std::move(action));
+  return this->At(Now() + delay, std::move(action));
 }
 
 void TimerQueue::Cancel(Id& id) {
@@ -31,7 +35,10 @@
     return;
   }
   this->armed_deadline = this->actions.begin()->first.first;
-  this->timer.expires_at(this->armed_deadline);
+  // The timer's own clock stands still while the VM is suspended, so it gets
+  // the delay and not the deadline.
+  this->timer.expires_after(
+      std::max(core::Duration::zero(), this->armed_deadline - Now()));
   this->timer.async_wait([this](const boost::system::error_code& error) {
     if (!error) {
       this->RunExpired();
@@ -40,7 +47,7 @@
 }
 
 void TimerQueue::RunExpired() {
-  const core::Instant now = std::chrono::steady_clock::now();
+  const core::Instant now = Now();
   while (!this->actions.empty() && this->actions.begin()->first.first <= now) {
     const auto first = this->actions.begin();
     const std::function<void()> action = std::move(first->second);
--- a/tests/core/fleet_limits_test.cpp
+++ b/tests/core/fleet_limits_test.cpp
@@ -54,7 +54,7 @@
       const int requested = 1 + pool.PrefetchAmount();
       pool.AddGrant(
           buckets.Grant("example", requested, kRate, reachable_fraction, now),
-          requested, now);
+          requested, now, now);
       is_admitted = pool.Take(now);
     }
     if (is_admitted) {
@@ -125,7 +125,7 @@
 
 TEST_CASE("The token of a request that did not run is reused", "[core][rate]") {
   LocalTokenPool pool(kStart);
-  pool.AddGrant(1, 1, kStart);
+  pool.AddGrant(1, 1, kStart, kStart);
   CHECK(pool.Take(kStart));
   CHECK_FALSE(pool.Take(kStart));
   pool.Return(kStart + milliseconds(10));
@@ -138,6 +138,30 @@
   }
 }
 
+// A daemon asks for tokens, is paused for seconds and then gets requests. The
+// window for which the owner granted the tokens has passed.
+TEST_CASE("Granted tokens are not spent long after they were asked for",
+          "[core][rate]") {
+  LocalTokenPool pool(kStart);
+  pool.AddGrant(20, 20, kStart, kStart);
+  CHECK(pool.Take(kStart + milliseconds(100)));
+
+  SECTION("after a pause") {
+    CHECK_FALSE(pool.Take(kStart + seconds(3)));
+    CHECK(pool.PrefetchAmount() >= 0);
+  }
+  SECTION("also when the answer itself was read late") {
+    pool.AddGrant(20, 20, kStart + milliseconds(100), kStart + seconds(3));
+    CHECK_FALSE(pool.Take(kStart + seconds(3)));
+  }
+  SECTION("and a later grant does not renew an earlier one") {
+    pool.AddGrant(1, 1, kStart + milliseconds(400),
+                  kStart + milliseconds(400));
+    CHECK(pool.Take(kStart + milliseconds(600)));
+    CHECK_FALSE(pool.Take(kStart + milliseconds(600)));
+  }
+}
+
 TEST_CASE("Retries stay within the fleet's retry budget",
           "[core][retry][load]") {
   constexpr double kRatio = 0.2;
--- a/tests/core/sidecar_routing_test.cpp
+++ b/tests/core/sidecar_routing_test.cpp
@@ -208,3 +208,54 @@
     CHECK(selector.CountAcceptingTargets("s") == 2);
   }
 }
+
+// A link between two data centres narrows: what is sent over it waits, and only
+// its sender can see that.
+TEST_CASE("Requests go around a path that delays them", "[core][routing][load]") {
+  RandomSource random = Seeded(4);
+  constexpr Instant kNow = Instant() + std::chrono::hours(1);
+  TargetSelector selector;
+  for (const char* member : {"near", "far"}) {
+    selector.Put(member,
+                 {.instance = member,
+                  .service = "claims",
+                  .distance = std::string(member) == "near"
+                                  ? Distance::kSameDataCentre
+                                  : Distance::kOtherDataCentre,
+                  .slots = 20,
+                  .accepts_work = true},
+                 kNow);
+    selector.SetReachable(member, true);
+  }
+  const auto count_near = [&](std::size_t body_bytes) {
+    int near = 0;
+    for (int i = 0; i < 1000; ++i) {
+      near += selector.Choose("claims", {}, kNow, random, body_bytes)->member ==
+                      "near"
+                  ? 1
+                  : 0;
+    }
+    return near;
+  };
+  REQUIRE(count_near(0) > 950);
+
+  SECTION("to another data centre") {
+    selector.SetPathDelay("near", milliseconds(300));
+    CHECK(count_near(0) < 50);
+
+    SECTION("and back once the delay has gone") {
+      selector.SetPathDelay("near", {});
+      CHECK(count_near(0) > 950);
+    }
+  }
+  SECTION("the delay counts as waiting where no other target is left") {
+    selector.SetPathDelay("near", milliseconds(300));
+    const auto choice = selector.Choose("claims", {"far"}, kNow, random);
+    CHECK(choice->expected_wait >= milliseconds(300));
+  }
+  SECTION("large bodies stay in the data centre for longer") {
+    selector.SetPathDelay("near", milliseconds(30));
+    CHECK(count_near(0) < 50);
+    CHECK(count_near(200'000) > 950);
+  }
+}
--- a/tests/platform/adapter_test.cpp
+++ b/tests/platform/adapter_test.cpp
@@ -46,7 +46,9 @@
     R"({"version":"r7","routes":{"columns":["name","host","pathPrefix","kind",
 "timeout","targetLatency","priority","weightedClusters","attempts","public","service"],"rows":[
 ["a","a.example","/x/","safe","1000ms","1.5s",2,[{"service":"s","weight":90},{"service":"t","weight":10}],2,false,null],
-["b","b.example","/y/","unsafe","1200ms","1500ms",0,null,3,true,"u"]]},
+["b","b.example","/y/","unsafe","1200ms","1500ms",0,null,3,true,"u"],
+["c","c.example","/z/","upload","1200ms","500ms",1,null,3,true,"u"],
+["d","d.example","/w/","stream","1200ms","500ms",1,null,3,true,"u"]]},
 "services":{"columns":["name","healthPath","maxConnections","protocol","tls"],"rows":[["s","/health",406,"h1",false]]},
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeout":"3000ms","idleTimeout":"15000ms"},
 "tenants":{"columns":["name","apiKeys","priority","ratePerS","burst"],"rows":[["club",["k1","k2"],1,63,64]]}})";
@@ -107,6 +109,8 @@
     response.set("Request-Id", "1");
     CHECK(dialect.is_answer_to(response, "1"));
     CHECK_FALSE(dialect.is_answer_to(response, "2"));
+    response.erase("Request-Id");
+    CHECK_FALSE(dialect.is_answer_to(response, "1"));
   }
 }
 
@@ -155,7 +159,7 @@
   const auto decoded =
       std::get<core::manifest::Manifest>(dialect.decode_manifest(kManifest));
   CHECK(decoded.version == 7);
-  REQUIRE(decoded.routes.size() == 2);
+  REQUIRE(decoded.routes.size() == 4);
   CHECK(decoded.routes[0].is_idempotent);
   CHECK(decoded.routes[0].latency_target == milliseconds(1500));
   CHECK(decoded.routes[0].destinations.size() == 2);
@@ -171,6 +175,14 @@
                                               .burst = 64}});
   CHECK(decoded.limits.idle_timeout == std::chrono::seconds(15));
 
+  SECTION("uploads run at most once and have large bodies") {
+    CHECK_FALSE(decoded.routes[2].is_idempotent);
+    CHECK(decoded.routes[2].has_large_bodies);
+  }
+  SECTION("requests of an unknown kind run at most once") {
+    CHECK_FALSE(decoded.routes[3].is_idempotent);
+    CHECK_FALSE(decoded.routes[3].has_large_bodies);
+  }
   SECTION("a truncated manifest is rejected") {
     const std::string document(kManifest);
     for (std::size_t length = 0; length < document.size(); length += 7) {
@@ -237,6 +249,7 @@
   const auto parsed = sidecar::ParseSettings(text);
   REQUIRE(std::holds_alternative<sidecar::Settings>(parsed));
   CHECK(std::get<sidecar::Settings>(parsed).links_port == 7000);
+  CHECK(std::get<sidecar::Settings>(parsed).advertised_links_port == 7000);
   CHECK(std::get<sidecar::Settings>(parsed).bounds.account_window ==
         std::chrono::seconds(4));
 
--- a/tests/sidecar/whole_path_test.cpp
+++ b/tests/sidecar/whole_path_test.cpp
@@ -8,7 +8,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
-#include <boost/beast/core/detail/base64.hpp>
 #include <boost/beast/http.hpp>
 #include <catch2/catch.hpp>
 #include <filesystem>
@@ -19,6 +18,7 @@
 #include <thread>
 
 #include "harness/process.h"
+#include "harness/store.h"
 #include "lycheewell/io/http/server.h"
 
 namespace {
@@ -31,142 +31,12 @@
 using io::http::Verb;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using harness::FakeServer;
+using harness::LoopbackAddress;
+using harness::Store;
 
 constexpr int kFirstPort = 21'400;
 
-std::string LoopbackAddress(int port) {
-  return "127.0.0.1:" + std::to_string(port);
-}
-
-// Runs an HTTP server with the given handler on its own thread.
-class FakeServer {
- public:
-  FakeServer(int port, io::http::Handler handler)
-      : server(this->context, {.address = LoopbackAddress(port)},
-               std::move(handler)) {
-    this->server.Start();
-    this->thread = std::thread([this] { this->context.run(); });
-  }
-  ~FakeServer() {
-    this->context.stop();
-    this->thread.join();
-  }
-
- private:
-  asio::io_context context;
-  io::http::Server server;
-  std::thread thread;
-};
-
-// Fake of the store: keyed topics with long-polling reads.
-class Store {
- public:
-  explicit Store(int port)
-      : fake_server(port, [this](Request request, const CancellationPointer&) {
-          return this->Answer(std::move(request));
-        }) {}
-
-  void PutManifest(const std::string& document) {
-    this->Append("keyed.op", "config", document);
-  }
-
-  std::atomic<bool> is_down = false;
-
- private:
-  using CancellationPointer = io::async::CancellationPointer;
-
-  struct Topic {
-    std::map<std::string, std::string> newest;
-    std::vector<std::string> records;  // with length prefixes
-  };
-
-  static std::string BigEndian(std::uint64_t value, std::size_t size) {
-    std::string bytes(size, '\0');
-    for (std::size_t i = size; i-- > 0; value >>= 8U) {
-      bytes[i] = static_cast<char>(value & 0xffU);
-    }
-    return bytes;
-  }
-
-  void Append(const std::string& topic, const std::string& key,
-              const std::string& value) {
-    const std::lock_guard lock(this->mutex);
-    std::string record(1, static_cast<char>(key.size()));
-    record += key + value;
-    this->topics[topic].newest[key] = value;
-    this->topics[topic].records.push_back(BigEndian(record.size(), 4) + record);
-  }
-
-  asio::awaitable<std::optional<Response>> Answer(Request request) {
-    if (this->is_down) {
-      co_return io::http::MakeResponse(Status::service_unavailable,
-                                       "text/plain", "");
-    }
-    const auto target = io::http::SplitTarget(io::http::View(request.target()));
-    const std::string topic = io::http::QueryValue(target.query, "topic");
-    if (target.path == "/v1/log-append") {
-      const std::string& body = request.body();
-      const auto key_size = static_cast<unsigned char>(body.at(4));
-      this->Append(topic, body.substr(5, key_size), body.substr(5 + key_size));
-      co_return io::http::MakeJson(Status::ok, "{}");
-    }
-    if (target.path == "/v1/log-newest") {
-      co_return io::http::MakeJson(Status::ok, this->Newest(topic));
-    }
-    const auto from = std::stoul(io::http::QueryValue(target.query, "from"));
-    const int wait_ms = std::stoi(io::http::QueryValue(target.query, "waitMs"));
-    for (int waited = 0;; waited += 10) {
-      std::string body = this->Records(topic, from);
-      if (!body.empty() || waited >= wait_ms) {
-        co_return io::http::MakeResponse(
-            Status::ok, "application/octet-stream",
-            BigEndian(this->EndOf(topic), 8) + BigEndian(0, 8) + body);
-      }
-      asio::steady_timer timer(co_await asio::this_coro::executor,
-                               milliseconds(10));
-      co_await timer.async_wait(asio::use_awaitable);
-    }
-  }
-
-  std::uint64_t EndOf(const std::string& topic) {
-    const std::lock_guard lock(this->mutex);
-    return this->topics[topic].records.size();
-  }
-
-  std::string Newest(const std::string& topic) {
-    namespace base64 = beast::detail::base64;
-    const std::lock_guard lock(this->mutex);
-    std::string items;
-    for (const auto& [key, value] : this->topics[topic].newest) {
-      std::string encoded(base64::encoded_size(value.size()), '\0');
-      encoded.resize(
-          base64::encode(encoded.data(), value.data(), value.size()));
-      items += (items.empty() ? "" : ",");
-      items.append(R"({"key":")")
-          .append(key)
-          .append(R"(","value":")")
-          .append(encoded)
-          .append(R"("})");
-    }
-    return R"({"items":[)" + items + R"(],"hasMore":false,"endOffset":)" +
-           std::to_string(this->topics[topic].records.size()) + "}";
-  }
-
-  std::string Records(const std::string& topic, std::size_t from) {
-    const std::lock_guard lock(this->mutex);
-    std::string body;
-    const auto& records = this->topics[topic].records;
-    for (std::size_t i = from; i < records.size(); ++i) {
-      body += records[i];
-    }
-    return body;
-  }
-
-  std::mutex mutex;
-  std::map<std::string, Topic> topics;
-  FakeServer fake_server;
-};
-
 // Fake of a target. A request's query selects the answer: wait=MS delays it,
 // break closes the connection without an answer.
 class Target {
@@ -406,6 +276,13 @@
       return first.target->runs + second.target->runs == before + 2;
     }));
   }
+  SECTION(
+      "a safe request whose answer is lost, and that no other target can take, "
+      "is not reported as not run") {
+    const int runs = second.target->runs;
+    CHECK(first.Call("/look/1?break", "k1", Verb::get).status == 502);
+    CHECK(second.target->runs == runs + 1);
+  }
   SECTION(
       "a draining target gets no request once its announcement is "
       "acknowledged") {
--- /dev/null
+++ b/tests/soak/promises.h
@@ -0,0 +1,98 @@
+// What callers and targets saw in a run, and the promises that it must keep.
+#ifndef LYCHEEWELL_TESTS_SOAK_PROMISES_H_
+#define LYCHEEWELL_TESTS_SOAK_PROMISES_H_
+
+#include <chrono>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lycheewell::soak {
+
+using Clock = std::chrono::steady_clock;
+
+// A request as its client saw it.
+struct Request {
+  std::string id;
+  std::string key;
+  std::string account;
+  bool is_idempotent = false;
+  int vm = 0;
+  Clock::time_point sent_at;
+  Clock::time_point ended_at;
+  unsigned status = 0;     // 0: the connection ended without a whole answer
+  std::string answered_id;  // the id in the answer's body
+
+  bool operator==(const Request&) const = default;
+};
+
+// A request that a target began to run.
+struct Run {
+  std::string id;
+  std::string instance;
+  Clock::time_point at;
+
+  bool operator==(const Run&) const = default;
+};
+
+struct Span {
+  Clock::time_point begin;
+  Clock::time_point end;
+
+  bool operator==(const Span&) const = default;
+};
+
+struct Bounds {
+  std::chrono::milliseconds key_withdrawal{5'000};
+  std::chrono::milliseconds drain{2'000};
+  std::chrono::milliseconds account_window{5'000};
+  double account_rate = 40;
+  double account_burst = 40;
+  // Beyond the rate: a fraction of it, and requests.
+  double account_overage = 0.1;
+  double account_slack = 20;
+};
+
+// Safe to use from several threads.
+class Observations {
+ public:
+  // Commands.
+
+  void AddRequest(Request request);
+  void AddRun(Run run);
+  void AddWithdrawnKey(const std::string& key, Clock::time_point at);
+  // A daemon has acknowledged that the instance leaves.
+  void AddLeaving(const std::string& instance, Clock::time_point at);
+  // A planned stop of a daemon without any other fault around it.
+  void AddPlannedStop(int vm, const Span& span);
+
+  // Queries.
+
+  // One line for each broken promise.
+  std::vector<std::string> BrokenPromises(const Bounds& bounds) const;
+  // Fraction of the requests sent within `span` that were answered with 200.
+  double ServedFraction(const Span& span) const;
+  std::size_t request_count() const;
+
+ private:
+  void CheckAnswers(std::vector<std::string>& broken) const;
+  void CheckKeys(const Bounds& bounds, std::vector<std::string>& broken) const;
+  void CheckDrains(const Bounds& bounds,
+                   std::vector<std::string>& broken) const;
+  void CheckRates(const Bounds& bounds, std::vector<std::string>& broken) const;
+  void CheckPlannedStops(std::vector<std::string>& broken) const;
+  std::size_t RunsOf(const std::string& id) const;
+
+  mutable std::mutex mutex;
+  std::vector<Request> requests;
+  std::map<std::string, std::vector<Run>> runs;  // by request id
+  std::map<std::string, Clock::time_point> withdrawn_keys;
+  std::map<std::string, Clock::time_point> leaving;  // by instance
+  std::vector<std::pair<int, Span>> planned_stops;
+};
+
+}  // namespace lycheewell::soak
+
+#endif  // LYCHEEWELL_TESTS_SOAK_PROMISES_H_
--- /dev/null
+++ b/tests/soak/schedule.cpp
@@ -0,0 +1,68 @@
+#include "soak/schedule.h"
+
+#include <algorithm>
+#include <array>
+#include <random>
+#include <string_view>
+
+namespace lycheewell::soak {
+namespace {
+using std::chrono::milliseconds;
+
+constexpr std::array<std::string_view, kFaultKinds> kNames = {
+    "kill",         "planned-stop",    "pause",          "delay",
+    "reset-links",  "cut-one-way",     "silence",        "narrow",
+    "store-down",   "store-silent",    "store-slow",     "store-lost",
+    "withdraw-key", "new-manifest",    "drain-target",   "crash-target",
+    "lose-answers", "second-answers",  "endless-answers", "silent-target"};
+
+constexpr int kMinFaults = 4;
+constexpr int kMaxFaults = 9;
+constexpr milliseconds kMinLength{300};
+constexpr milliseconds kMaxLength{4'000};
+constexpr int kSeriesPercent = 30;
+constexpr milliseconds kSeriesGap{700};
+
+}  // namespace
+
+std::vector<Fault> MakeSchedule(const ScheduleOptions& options) {
+  std::mt19937_64 random(options.seed);
+  const auto below = [&](std::int64_t end) {
+    return static_cast<std::int64_t>(random() %
+                                     static_cast<std::uint64_t>(end));
+  };
+  std::vector<Fault> faults;
+  const auto count = kMinFaults + below(kMaxFaults - kMinFaults + 1);
+  for (std::int64_t i = 0; i < count; ++i) {
+    Fault fault{
+        .kind = static_cast<FaultKind>(below(kFaultKinds)),
+        .at = milliseconds(below(options.length.count())),
+        .length = kMinLength + milliseconds(below(
+                                   (kMaxLength - kMinLength).count())),
+        .vm = static_cast<int>(below(options.vms))};
+    faults.push_back(fault);
+    if (below(100) < kSeriesPercent) {
+      // The same on other VMs, one after the other.
+      for (int other = 1; other < options.vms; ++other) {
+        fault.at += kSeriesGap;
+        fault.vm = (fault.vm + 1) % options.vms;
+        if (fault.at < options.length) {
+          faults.push_back(fault);
+        }
+      }
+    }
+  }
+  std::stable_sort(
+      faults.begin(), faults.end(),
+      [](const Fault& left, const Fault& right) { return left.at < right.at; });
+  return faults;
+}
+
+std::string Describe(const Fault& fault) {
+  return std::to_string(fault.at.count()) + " ms: " +
+         std::string(kNames.at(static_cast<std::size_t>(fault.kind))) +
+         " on vm-" + std::to_string(fault.vm) + " for " +
+         std::to_string(fault.length.count()) + " ms";
+}
+
+}  // namespace lycheewell::soak
--- /dev/null
+++ b/tests/soak/target.h
@@ -0,0 +1,60 @@
+// Stand-in for a target that writes raw bytes, also wrong ones.
+#ifndef LYCHEEWELL_TESTS_SOAK_TARGET_H_
+#define LYCHEEWELL_TESTS_SOAK_TARGET_H_
+
+#include <atomic>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+
+#include "soak/promises.h"
+
+namespace lycheewell::soak {
+
+enum class TargetFault {
+  kNone,
+  kLoseAnswers,     // runs the request and closes the connection
+  kSecondAnswers,   // sends each answer again a little later
+  kEndlessAnswers,  // sends bytes that are no answer until the caller closes
+};
+
+class Target {
+ public:
+  Target(int port, Observations& observations);
+  ~Target();
+
+  // Commands.
+
+  // Requests that name another instance are not run.
+  void SetInstance(const std::string& name);
+  void SetFault(TargetFault new_fault) { this->fault = new_fault; }
+  // Ends all connections at once, as a crash does.
+  void DropConnections();
+
+ private:
+  using SocketPointer = std::shared_ptr<boost::asio::ip::tcp::socket>;
+
+  boost::asio::awaitable<void> Accept();
+  boost::asio::awaitable<void> Serve(SocketPointer socket);
+  boost::asio::awaitable<void> ServeAll(SocketPointer socket);
+  // Returns whether the connection can be used again.
+  boost::asio::awaitable<bool> Run(SocketPointer socket, std::string id);
+  std::string instance();
+
+  Observations& observations;
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::acceptor acceptor;
+  std::set<SocketPointer> sockets;
+  std::mutex mutex;
+  std::string instance_name;
+  std::atomic<TargetFault> fault = TargetFault::kNone;
+  std::thread thread;
+};
+
+}  // namespace lycheewell::soak
+
+#endif  // LYCHEEWELL_TESTS_SOAK_TARGET_H_
