Account owners: forget grants after a pause instead of falling back at each start

Cause: after a start or a pause a daemon owned no account for 1.5 s, and its peers then used a 95th of the rate each. An owner that was paused now starts its buckets like a new owner. Soak: 429 over the rate are not owed.

--- a/packages/core/include/lycheewell/core/rate/fleet_tokens.h
+++ b/packages/core/include/lycheewell/core/rate/fleet_tokens.h
@@ -82,6 +82,9 @@
   int Grant(const std::string& account, int amount, const AccountRate& rate,
             double reachable_fraction, Instant now);
 
+  // Forgets what was granted: another daemon may have been the owner meanwhile.
+  void Clear() { this->buckets.clear(); }
+
  private:
   Duration window;
   std::map<std::string, SlidingWindowBucket> buckets;
--- a/packages/sidecar/include/lycheewell/sidecar/links/mesh.h
+++ b/packages/sidecar/include/lycheewell/sidecar/links/mesh.h
@@ -117,9 +117,9 @@
   // Whether `member` has it among the reachable members of its own one.
   bool is_first_of_its_data_centre(const std::string& member,
                                    std::string_view purpose) const;
-  // Whether this daemon has watched its links all along lately. After a pause
-  // its peers may have replaced it in its duties, until it has heard of them.
-  bool is_view_current() const;
+  // Number of times that this process was paused for long enough for its peers
+  // to replace it in its duties.
+  std::uint64_t pause_count() const;
   // `when` on the clock of `member`, in microseconds; 0 when not known.
   std::uint64_t PeerTime(const std::string& member, core::Instant when) const;
   // Digest of the known members.
@@ -210,7 +210,7 @@
       first_members;
   mutable std::uint64_t first_members_version = 0;
   core::Instant checked_at;
-  core::Instant view_current_from;
+  std::uint64_t pauses = 0;
   core::Instant members_wanted_at;
   bool listed = false;
 };
--- a/packages/sidecar/include/lycheewell/sidecar/requests/account_limiter.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/account_limiter.h
@@ -71,6 +71,9 @@
   void RequestTokens(const std::string& account, AccountState& state);
   void FallBack(std::uint64_t request_id);
   bool TakeFallback(AccountState& state, core::Instant now);
+  // While this daemon was paused, another one may have granted tokens as the
+  // owner. The buckets start like those of a new owner.
+  void ForgetGrantsBeforePause();
   core::Duration RetryAfter(const AccountState& state) const;
 
   TimerQueue& timers;
@@ -79,6 +82,7 @@
   std::map<std::string, AccountState> account_states;
   std::map<std::uint64_t, TokenRequest> token_requests;
   std::uint64_t last_request_id = 0;
+  std::uint64_t known_pauses = 0;
   // Cached owners by account, valid for one reachability version of the mesh.
   std::map<std::string, std::string> owners;
   std::uint64_t owners_version = 0;
--- a/packages/sidecar/src/links/mesh.cpp
+++ b/packages/sidecar/src/links/mesh.cpp
@@ -55,10 +55,6 @@
 // Links without a check for this long mean that the process was paused.
 constexpr core::Duration kPauseThreshold = std::chrono::milliseconds(1500);
 
-// Time after a pause until the view of the members is current again: peers have
-// then answered a ping.
-constexpr core::Duration kViewRefreshTime = std::chrono::milliseconds(1500);
-
 // Minimum time between two requests for the list of members.
 constexpr core::Duration kMembersInterval = std::chrono::seconds(4);
 
@@ -105,6 +101,7 @@
   this->Accept();
   this->RegisterSelf();
   this->RefreshDigest();
+  this->checked_at = Now();
   this->CheckLinks();
   this->CheckPaths();
 }
@@ -491,9 +488,7 @@
 
 void Mesh::CheckLinks() {
   const core::Instant now = Now();
-  if (now - this->checked_at > kPauseThreshold) {
-    this->view_current_from = now + kViewRefreshTime;
-  }
+  this->pauses = this->pause_count();
   this->checked_at = now;
   this->CheckSilentLinks(now);
   std::vector<std::string> removable;
@@ -664,10 +659,9 @@
   return this->first_members.emplace(key, first).first->second;
 }
 
-bool Mesh::is_view_current() const {
-  const core::Instant now = Now();
-  return now - this->checked_at <= kPauseThreshold &&
-         now >= this->view_current_from;
+std::uint64_t Mesh::pause_count() const {
+  // The check that counts the pause may not have run yet.
+  return this->pauses + (Now() - this->checked_at > kPauseThreshold ? 1 : 0);
 }
 
 std::uint64_t Mesh::PeerTime(const std::string& member,
--- a/packages/sidecar/src/requests/account_limiter.cpp
+++ b/packages/sidecar/src/requests/account_limiter.cpp
@@ -79,13 +79,7 @@
     return;
   }
   const std::string owner_name = this->OwnerOf(account.name);
-  if (owner_name == this->mesh.self_name() && !this->mesh.is_view_current()) {
-    // While this daemon was paused or not running, another one may have become
-    // the owner.
-    const bool allowed = this->TakeFallback(state, now);
-    done(allowed, allowed ? core::Duration::zero() : this->RetryAfter(state));
-    return;
-  }
+  this->ForgetGrantsBeforePause();
   if (owner_name == this->mesh.self_name()) {
     const int granted =
         this->owned_buckets.Grant(account.name, kSelfGrantAmount, state.rate,
@@ -147,7 +141,8 @@
   mesh::Frame frame;
   mesh::TokenGrant& grant = *frame.mutable_token_grant();
   grant.set_ask_id(request.ask_id());
-  if (account == nullptr || !this->mesh.is_view_current() ||
+  this->ForgetGrantsBeforePause();
+  if (account == nullptr ||
       this->OwnerOf(account->name) != this->mesh.self_name()) {
     grant.set_is_not_keeper(true);
   } else {
@@ -197,6 +192,13 @@
   this->RequestTokens(request.account, after);
 }
 
+void AccountLimiter::ForgetGrantsBeforePause() {
+  if (this->known_pauses != this->mesh.pause_count()) {
+    this->known_pauses = this->mesh.pause_count();
+    this->owned_buckets.Clear();
+  }
+}
+
 bool AccountLimiter::TakeFallback(AccountState& state, core::Instant now) {
   return state.pool.TakeFallback(state.rate, this->mesh.daemon_count(), now);
 }
--- a/tests/core/fleet_limits_test.cpp
+++ b/tests/core/fleet_limits_test.cpp
@@ -72,6 +72,11 @@
   constexpr AccountRate kRate{.per_second = 100, .burst = 100};
   CHECK(buckets.Grant("example", 1000, kRate, 1, kStart) <= 20);
   CHECK(buckets.Grant("example", 1000, kRate, 1, kStart + seconds(10)) == 100);
+
+  SECTION("nor does an owner that was paused") {
+    buckets.Clear();
+    CHECK(buckets.Grant("example", 1000, kRate, 1, kStart + seconds(20)) <= 20);
+  }
 }
 
 // Accounts send 1.5 times their rate for many seconds. Operators measure the
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -25,6 +25,7 @@
   int first_port = 24'000;
   int vms = 5;
   std::string folder;  // settings and logs
+  std::string daemon = std::string(LYCHEEWELL_BIN_DIR) + "/lycheewelld";
 };
 
 class Fleet {
--- a/tests/soak/promises_test.cpp
+++ b/tests/soak/promises_test.cpp
@@ -101,4 +101,14 @@
         0, {.begin = kStart - seconds(1), .end = kStart + seconds(6)});
     CHECK(seen.BrokenPromises({}).size() == 1);
   }
+  SECTION("requests that are owed and not served") {
+    const Span span{.begin = kStart, .end = kStart + seconds(1)};
+    CHECK(seen.ServedFraction(span, {}) == 1.0);
+    seen.AddRequest(Answered("r2", 503));
+    CHECK(seen.ServedFraction(span, {}) == 0.5);
+    // Below the account's rate a 429 is owed, above it is not.
+    seen.AddRequest(Answered("r3", 429));
+    CHECK(seen.ServedFraction(span, {}) == Approx(1.0 / 3));
+    CHECK(seen.ServedFraction(span, {.account_rate = 2}) == 0.5);
+  }
 }
