--- a/packages/sidecar/include/lycheewell/sidecar/links/mesh.h
+++ b/packages/sidecar/include/lycheewell/sidecar/links/mesh.h
@@ -57,8 +57,8 @@
         on_path_delay;
     // `member` has left or timed out and must get no new calls.
     std::function<void(const std::string& member)> on_removed;
-    // Fills the fields of a Hello other than `self` and the clock. `receiver` is
-    // empty when it is not known yet.
+    // Fills the fields of a Hello other than `self` and the clock. `receiver`
+    // is empty when it is not known yet.
     std::function<void(mesh::Hello&, const std::string& receiver)> fill_hello;
     std::function<void(const mesh::Hello&)> on_hello;
   };
--- a/packages/sidecar/src/http/server.cpp
+++ b/packages/sidecar/src/http/server.cpp
@@ -269,9 +269,9 @@
     }
     this->server.timers.Cancel(this->timer);
     this->closes_after = !this->parser->keep_alive();
-    this->exchange = std::make_shared<ServerExchange>(this->weak_from_this(),
-                                                      this->parser->release(),
-                                                      std::move(this->body_allowance));
+    this->exchange = std::make_shared<ServerExchange>(
+        this->weak_from_this(), this->parser->release(),
+        std::move(this->body_allowance));
     this->parser.reset();
     this->server.options.handler(this->exchange);
   }
--- a/packages/sidecar/src/links/link.cpp
+++ b/packages/sidecar/src/links/link.cpp
@@ -158,15 +158,13 @@
   if (!this->open) {
     return;
   }
-  if (frame.has_cancel() &&
-      (this->Withdraw(frame.cancel().call_id()) ||
-       this->AbortPartlySent(frame.cancel().call_id()))) {
+  if (frame.has_cancel() && (this->Withdraw(frame.cancel().call_id()) ||
+                             this->AbortPartlySent(frame.cancel().call_id()))) {
     return;
   }
-  Outgoing outgoing{
-      .bytes = WithLength(frame),
-      .call_id = frame.has_call() ? frame.call().call_id() : 0,
-      .queued_at = Now()};
+  Outgoing outgoing{.bytes = WithLength(frame),
+                    .call_id = frame.has_call() ? frame.call().call_id() : 0,
+                    .queued_at = Now()};
   this->queued_bytes += outgoing.bytes.size();
   if (outgoing.bytes.size() <= kMaxWholeFrameBytes) {
     this->whole_frames.push_back(std::move(outgoing));
@@ -193,11 +191,9 @@
 }
 
 bool Link::AbortPartlySent(std::uint64_t call_id) {
-  const auto found =
-      std::find_if(this->sliced_frames.begin(), this->sliced_frames.end(),
-                   [&](const Outgoing& frame) {
-                     return frame.call_id == call_id;
-                   });
+  const auto found = std::find_if(
+      this->sliced_frames.begin(), this->sliced_frames.end(),
+      [&](const Outgoing& frame) { return frame.call_id == call_id; });
   if (found == this->sliced_frames.end()) {
     return false;
   }
--- a/packages/sidecar/src/links/mesh.cpp
+++ b/packages/sidecar/src/links/mesh.cpp
@@ -107,15 +107,15 @@
 }
 
 void Mesh::Accept() {
-  this->acceptor.async_accept([this](const boost::system::error_code& error,
-                                     tcp::socket socket) {
-    if (error) {
-      this->timers.After(kRetryDelay, [this] { this->Accept(); });
-      return;
-    }
-    this->AddAccepted(std::move(socket));
-    this->Accept();
-  });
+  this->acceptor.async_accept(
+      [this](const boost::system::error_code& error, tcp::socket socket) {
+        if (error) {
+          this->timers.After(kRetryDelay, [this] { this->Accept(); });
+          return;
+        }
+        this->AddAccepted(std::move(socket));
+        this->Accept();
+      });
 }
 
 void Mesh::AddAccepted(tcp::socket socket) {
@@ -618,8 +618,7 @@
 }
 
 bool Mesh::is_first_in_data_centre(std::string_view purpose) const {
-  return this->FirstOf(this->self.data_centre(), purpose) ==
-         this->self.name();
+  return this->FirstOf(this->self.data_centre(), purpose) == this->self.name();
 }
 
 bool Mesh::is_first_of_its_data_centre(const std::string& member,
--- a/packages/sidecar/src/requests/account_limiter.cpp
+++ b/packages/sidecar/src/requests/account_limiter.cpp
@@ -32,8 +32,8 @@
 AccountLimiter::AccountState& AccountLimiter::StateOf(
     const std::string& account) {
   return this->account_states
-      .try_emplace(account, AccountState{.pool = core::rate::LocalTokenPool(
-                                             Now())})
+      .try_emplace(account,
+                   AccountState{.pool = core::rate::LocalTokenPool(Now())})
       .first->second;
 }
 
--- a/packages/sidecar/src/requests/frontend.cpp
+++ b/packages/sidecar/src/requests/frontend.cpp
@@ -105,9 +105,9 @@
   core::Instant deadline;
   core::Instant soft_deadline;
   int rank = 0;
-  bool holds_token = false;  // of its account's rate
-  int attempts = 0;          // sends that reached or may have reached a target
-  int refusals = 0;          // answers that the request was not run
+  bool holds_token = false;   // of its account's rate
+  int attempts = 0;           // sends that reached or may have reached a target
+  int refusals = 0;           // answers that the request was not run
   bool may_have_run = false;  // an attempt ended without an answer
   std::set<std::string> excluded;
   TimerQueue::Id timer = 0;
@@ -274,8 +274,7 @@
         Event::kCallAbandoned,
         {{"request", pending->request.id},
          {"service", pending->service},
-         {"after_ms", MillisecondsText(Now() -
-                                       pending->arrived_at)}});
+         {"after_ms", MillisecondsText(Now() - pending->arrived_at)}});
     this->options.counters.Count("requests", "client left");
     this->CancelCall(pending);
     this->Close(pending);
@@ -455,7 +454,8 @@
 
 void Frontend::OnLinkLost(std::uint64_t link_id) {
   constexpr bool kOnlyIdempotent = false;
-  for (const PendingPointer& pending : this->CallsOn(link_id, kOnlyIdempotent)) {
+  for (const PendingPointer& pending :
+       this->CallsOn(link_id, kOnlyIdempotent)) {
     this->remote_calls.erase(pending->call_id);
     this->OnOutcome(pending, {.outcome = Outcome::kMayHaveRun,
                               .reason = "link to the target's daemon lost"});
@@ -464,7 +464,8 @@
 
 void Frontend::OnLinkSilent(std::uint64_t link_id) {
   constexpr bool kOnlyIdempotent = true;
-  for (const PendingPointer& pending : this->CallsOn(link_id, kOnlyIdempotent)) {
+  for (const PendingPointer& pending :
+       this->CallsOn(link_id, kOnlyIdempotent)) {
     this->options.mesh.Withdraw(pending->member, link_id, pending->call_id);
     this->remote_calls.erase(pending->call_id);
     this->OnOutcome(pending, {.outcome = Outcome::kMayHaveRun,
--- a/packages/sidecar/src/requests/gate.cpp
+++ b/packages/sidecar/src/requests/gate.cpp
@@ -401,8 +401,7 @@
 }
 
 void Gate::DispatchWaiting() {
-  const auto dispatched =
-      this->slots.Dispatch(Now());
+  const auto dispatched = this->slots.Dispatch(Now());
   for (const Ticket ticket : dispatched.run) {
     this->Run(ticket);
   }
@@ -600,8 +599,8 @@
   load.set_waiting(static_cast<std::uint32_t>(this->slots.waiting()));
   load.set_mean_work_us(Microseconds(this->slots.mean_work()));
   constexpr double kPermille = 1000.0;
-  load.set_failing_permille(static_cast<std::uint32_t>(
-      kPermille * this->failures.Fraction(Now())));
+  load.set_failing_permille(
+      static_cast<std::uint32_t>(kPermille * this->failures.Fraction(Now())));
   return load;
 }
 
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -293,8 +293,7 @@
     }
     if (target.state() == mesh::LEAVING) {
       this->retired_starts.Record(
-          member,
-          target.instance() + "@" + std::to_string(target.born_ms()));
+          member, target.instance() + "@" + std::to_string(target.born_ms()));
     }
     Distance distance = Distance::kSameVm;
     if (member != this->options.settings.name) {
@@ -662,8 +661,7 @@
   // The demand on the local target counts like that on the targets of peers.
   void ReportLocalDemand() {
     std::map<std::string, core::overload::RouteDemand> own;
-    for (const auto& [route, demand] :
-         this->RefreshDemand(Now())) {
+    for (const auto& [route, demand] : this->RefreshDemand(Now())) {
       own[route] = demand.counts;
     }
     this->ReportDemand(this->options.settings.name,
--- a/tests/core/demand_model_test.cpp
+++ b/tests/core/demand_model_test.cpp
@@ -347,8 +347,8 @@
   CHECK(model.admitted_fraction("pay") < 0.55);
 }
 
-// Three quarters of the targets of a service leave. Most requests that need it belong to
-// an unimportant route.
+// Three quarters of the targets of a service leave. Most requests that need it
+// belong to an unimportant route.
 TEST_CASE("An important route is not cut for an unimportant one",
           "[core][overload][load]") {
   DemandModel model(kStart);
@@ -390,9 +390,8 @@
   // What 1.3 times the 27 slots leave of the 65 that it wants.
   CHECK(model.admitted_fraction("view") < 0.27);
   // No route is served less than a quarter as often as all.
-  const double overall =
-      (60 * model.admitted_fraction("confirm") +
-       260 * model.admitted_fraction("view")) /
-      320;
+  const double overall = (60 * model.admitted_fraction("confirm") +
+                          260 * model.admitted_fraction("view")) /
+                         320;
   CHECK(model.admitted_fraction("view") > 0.25 * overall);
 }
--- a/tests/core/demand_sums_test.cpp
+++ b/tests/core/demand_sums_test.cpp
@@ -7,7 +7,8 @@
 using std::chrono::milliseconds;
 
 RouteDemand Counts(std::uint64_t offered, int work_ms) {
-  return {.offered = offered, .entered = offered, .work = milliseconds(work_ms)};
+  return {
+      .offered = offered, .entered = offered, .work = milliseconds(work_ms)};
 }
 
 }  // namespace
@@ -54,8 +55,8 @@
             std::to_string(data_centre) + "-" + std::to_string(vm);
         const std::string service = vm < 3 ? "pay" : "look";
         const std::map<std::string, RouteDemand> counts = {
-            {"claim", Counts(static_cast<std::uint64_t>(40 * second),
-                             6'000 * second)}};
+            {"claim",
+             Counts(40U * static_cast<std::uint64_t>(second), 6'000 * second)}};
         direct.Report(name, service, counts);
         if (data_centre == 0) {
           by_sums.Report(name, service, counts);
--- a/tests/core/fleet_limits_test.cpp
+++ b/tests/core/fleet_limits_test.cpp
@@ -160,8 +160,7 @@
     CHECK_FALSE(pool.Take(kStart + seconds(3)));
   }
   SECTION("and a later grant does not renew an earlier one") {
-    pool.AddGrant(1, 1, kStart + milliseconds(400),
-                  kStart + milliseconds(400));
+    pool.AddGrant(1, 1, kStart + milliseconds(400), kStart + milliseconds(400));
     CHECK(pool.Take(kStart + milliseconds(600)));
     CHECK_FALSE(pool.Take(kStart + milliseconds(600)));
   }
--- a/tests/core/retired_starts_test.cpp
+++ b/tests/core/retired_starts_test.cpp
@@ -6,8 +6,8 @@
 using lycheewell::core::membership::RetiredStarts;
 }  // namespace
 
-// A year of replacements in a fleet of thousands: each daemon that restarts must
-// still learn which start of its target has left.
+// A year of replacements in a fleet of thousands: each daemon that restarts
+// must still learn which start of its target has left.
 TEST_CASE("Starts that have left are remembered by the daemon beside them",
           "[core][membership]") {
   RetiredStarts retired;
@@ -38,10 +38,10 @@
       retired.Record("other-" + std::to_string(vm), "i@1");
     }
     CHECK(retired.daemon_count() == RetiredStarts::kMaxDaemons);
-    CHECK_FALSE(retired
-                    .StartsBeside("other-" +
-                                  std::to_string(
-                                      2 * RetiredStarts::kMaxDaemons - 1))
-                    .empty());
+    CHECK_FALSE(
+        retired
+            .StartsBeside("other-" +
+                          std::to_string(2 * RetiredStarts::kMaxDaemons - 1))
+            .empty());
   }
 }
--- a/tests/core/sidecar_routing_test.cpp
+++ b/tests/core/sidecar_routing_test.cpp
@@ -211,20 +211,21 @@
 
 // A link between two data centres narrows: what is sent over it waits, and only
 // its sender can see that.
-TEST_CASE("Requests go around a path that delays them", "[core][routing][load]") {
+TEST_CASE("Requests go around a path that delays them",
+          "[core][routing][load]") {
   RandomSource random = Seeded(4);
   constexpr Instant kNow = Instant() + std::chrono::hours(1);
   TargetSelector selector;
   for (const char* member : {"near", "far"}) {
-    selector.Put(member,
-                 {.instance = member,
-                  .service = "claims",
-                  .distance = std::string(member) == "near"
-                                  ? Distance::kSameDataCentre
-                                  : Distance::kOtherDataCentre,
-                  .slots = 20,
-                  .accepts_work = true},
-                 kNow);
+    selector.Put(
+        member,
+        {.instance = member,
+         .service = "claims",
+         .distance = std::string(member) == "near" ? Distance::kSameDataCentre
+                                                   : Distance::kOtherDataCentre,
+         .slots = 20,
+         .accepts_work = true},
+        kNow);
     selector.SetReachable(member, true);
   }
   const auto count_near = [&](std::size_t body_bytes) {
--- a/tests/harness/store.cpp
+++ b/tests/harness/store.cpp
@@ -125,8 +125,7 @@
   std::string items;
   for (const auto& [key, value] : this->topics[topic].newest) {
     std::string encoded(base64::encoded_size(value.size()), '\0');
-    encoded.resize(
-        base64::encode(encoded.data(), value.data(), value.size()));
+    encoded.resize(base64::encode(encoded.data(), value.data(), value.size()));
     items += (items.empty() ? "" : ",");
     items.append(R"({"key":")")
         .append(key)
--- a/tests/sidecar/client_connection_test.cpp
+++ b/tests/sidecar/client_connection_test.cpp
@@ -28,16 +28,15 @@
 // Accepts one connection and writes what the test tells it to.
 class RawPeer {
  public:
-  explicit RawPeer(asio::io_context& new_context)
-      : context(new_context),
-        acceptor(new_context, {asio::ip::make_address("127.0.0.1"), 0}),
-        socket(new_context) {
-    this->acceptor.async_accept(
-        this->socket, [this](const boost::system::error_code& error) {
-          if (!error) {
-            this->Receive();
-          }
-        });
+  explicit RawPeer(asio::io_context& context)
+      : acceptor(context, {asio::ip::make_address("127.0.0.1"), 0}),
+        socket(context) {
+    this->acceptor.async_accept(this->socket,
+                                [this](const boost::system::error_code& error) {
+                                  if (!error) {
+                                    this->Receive();
+                                  }
+                                });
   }
 
   tcp::endpoint endpoint() const { return this->acceptor.local_endpoint(); }
@@ -54,17 +53,17 @@
       return;
     }
     auto chunk = std::make_shared<std::string>(bytes);
-    asio::async_write(this->socket, asio::buffer(*chunk),
-                      [this, chunk, limit](
-                          const boost::system::error_code& error,
-                          std::size_t size) {
-                        this->sent += size;
-                        if (error) {
-                          this->is_closed = true;
-                          return;
-                        }
-                        this->WriteWithoutEnd(*chunk, limit);
-                      });
+    asio::async_write(
+        this->socket, asio::buffer(*chunk),
+        [this, chunk, limit](const boost::system::error_code& error,
+                             std::size_t size) {
+          this->sent += size;
+          if (error) {
+            this->is_closed = true;
+            return;
+          }
+          this->WriteWithoutEnd(*chunk, limit);
+        });
   }
 
   std::string received;
@@ -85,7 +84,6 @@
         });
   }
 
-  asio::io_context& context;
   tcp::acceptor acceptor;
   tcp::socket socket;
   std::array<char, 4096> bytes{};
--- a/tests/sidecar/link_test.cpp
+++ b/tests/sidecar/link_test.cpp
@@ -44,25 +44,26 @@
                           this->has_failed = true;
                         },
                     .on_connected = [](const LinkPointer&) {}});
-    this->acceptor.async_accept([this](const boost::system::error_code&,
-                                       tcp::socket socket) {
-      this->receiver = std::make_shared<Link>(
-          std::move(socket),
-          Link::Hooks{.on_frame =
-                          [this](const LinkPointer&, mesh::Frame& frame) {
-                            if (frame.has_call()) {
-                              this->calls.push_back(frame.call().call_id());
-                              this->body_sizes.push_back(
-                                  frame.call().body().size());
-                            }
-                          },
-                      .on_closed =
-                          [this](const LinkPointer&, const std::string&) {
-                            this->has_failed = true;
-                          }});
-    });
+    this->acceptor.async_accept(
+        [this](const boost::system::error_code&, tcp::socket socket) {
+          this->receiver = std::make_shared<Link>(
+              std::move(socket),
+              Link::Hooks{.on_frame =
+                              [this](const LinkPointer&, mesh::Frame& frame) {
+                                if (frame.has_call()) {
+                                  this->calls.push_back(frame.call().call_id());
+                                  this->body_sizes.push_back(
+                                      frame.call().body().size());
+                                }
+                              },
+                          .on_closed =
+                              [this](const LinkPointer&, const std::string&) {
+                                this->has_failed = true;
+                              }});
+        });
     this->sender->Connect(this->acceptor.local_endpoint());
-    this->RunUntil([this] { return this->receiver && this->sender->is_open(); });
+    this->RunUntil(
+        [this] { return this->receiver && this->sender->is_open(); });
   }
 
   template <typename Condition>
@@ -85,7 +86,8 @@
   // The receiver does not read yet.
   fixture.sender->Send(CallFrame(1, kLargeBody));
   fixture.sender->Send(CallFrame(2, kLargeBody));
-  fixture.RunUntil([&] { return fixture.sender->unsent_bytes() < 2 * kLargeBody; });
+  fixture.RunUntil(
+      [&] { return fixture.sender->unsent_bytes() < 2 * kLargeBody; });
   fixture.receiver->Start();
 
   SECTION("a short call does not wait behind their bodies") {
@@ -127,8 +129,9 @@
     REQUIRE(fixture.sender->Withdraw(last));
     fixture.receiver->Start();
     fixture.RunUntil([&] { return fixture.sender->unsent_bytes() == 0; });
-    REQUIRE(fixture.RunUntil(
-        [&] { return !fixture.calls.empty() && fixture.calls.back() >= last - 1; }));
+    REQUIRE(fixture.RunUntil([&] {
+      return !fixture.calls.empty() && fixture.calls.back() >= last - 1;
+    }));
     CHECK(fixture.calls.back() == last - 1);
   }
   SECTION("but one that has left in part cannot") {
--- a/tests/sidecar/server_test.cpp
+++ b/tests/sidecar/server_test.cpp
@@ -30,7 +30,8 @@
   std::vector<http::ExchangePointer> held;
   bool holds = false;
   http::Server server{
-      this->context, this->timers,
+      this->context,
+      this->timers,
       {.endpoint = io::http::ParseEndpoint(kAddress),
        .handler =
            [this](const http::ExchangePointer& exchange) {
@@ -155,12 +156,12 @@
     Client& client = clients.emplace_back();
     std::thread writer([&] {
       boost::system::error_code ignored;
-      asio::write(client.socket,
-                  asio::buffer(
-                      "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
-                      std::to_string(size) + "\r\n\r\n" +
-                      std::string(size, 'x')),
-                  ignored);
+      asio::write(
+          client.socket,
+          asio::buffer("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+                       std::to_string(size) + "\r\n\r\n" +
+                       std::string(size, 'x')),
+          ignored);
     });
     fixture.RunFor(milliseconds(200));
     writer.join();
--- a/tests/sidecar/whole_path_test.cpp
+++ b/tests/sidecar/whole_path_test.cpp
@@ -25,15 +25,15 @@
 using namespace lycheewell;
 namespace asio = boost::asio;
 namespace beast = boost::beast;
+using harness::FakeServer;
+using harness::LoopbackAddress;
+using harness::Store;
 using io::http::Request;
 using io::http::Response;
 using io::http::Status;
 using io::http::Verb;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
-using harness::FakeServer;
-using harness::LoopbackAddress;
-using harness::Store;
 
 constexpr int kFirstPort = 21'400;
 
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -59,10 +59,9 @@
     auto vm = std::make_unique<Vm>();
     vm->target =
         std::make_unique<Target>(this->BasePort(i) + kTarget, observations);
-    vm->links =
-        std::make_unique<Proxy>(this->proxy_context,
-                                this->BasePort(i) + kLinksProxy,
-                                this->BasePort(i) + kLinks);
+    vm->links = std::make_unique<Proxy>(this->proxy_context,
+                                        this->BasePort(i) + kLinksProxy,
+                                        this->BasePort(i) + kLinks);
     vm->store = std::make_unique<Proxy>(this->proxy_context,
                                         this->BasePort(i) + kStoreProxy,
                                         this->options.first_port);
@@ -102,18 +101,15 @@
       << R"({"sidecar":{"name":")" << name << R"(","data_centre":"z)"
       << number % 2 << R"(","address":"127.0.0.1","clients_address":")"
       << LoopbackAddress(base + kClients) << R"(","announcements_address":")"
-      << LoopbackAddress(base + kAnnouncements)
-      << R"(","readiness_address":")" << LoopbackAddress(base + kReadiness)
-      << R"(","target":{"address":")" << LoopbackAddress(base + kTarget)
-      << R"(","service":"s"},"links_port":)" << base + kLinks
-      << R"(,"advertised_links_port":)" << base + kLinksProxy
-      << R"(,"metrics_port":)" << base + kMetrics
-      << R"(,"store":{"address":")" << LoopbackAddress(base + kStoreProxy)
-      << R"("},"bounds":{}}})";
+      << LoopbackAddress(base + kAnnouncements) << R"(","readiness_address":")"
+      << LoopbackAddress(base + kReadiness) << R"(","target":{"address":")"
+      << LoopbackAddress(base + kTarget) << R"(","service":"s"},"links_port":)"
+      << base + kLinks << R"(,"advertised_links_port":)" << base + kLinksProxy
+      << R"(,"metrics_port":)" << base + kMetrics << R"(,"store":{"address":")"
+      << LoopbackAddress(base + kStoreProxy) << R"("},"bounds":{}}})";
   this->fleet.at(static_cast<std::size_t>(number))->process =
       std::make_unique<harness::Process>(
-          std::vector<std::string>{
-              this->options.daemon, "--settings", path},
+          std::vector<std::string>{this->options.daemon, "--settings", path},
           this->options.folder + "/" + name + ".log");
 }
 
@@ -145,8 +141,8 @@
            R"(,"cold_time":"0ms"}})";
   }
   return HttpConnection(this->BasePort(number) + kAnnouncements)
-             .Send({.method = "POST", .target = path, .id = "beat",
-                    .body = body})
+             .Send(
+                 {.method = "POST", .target = path, .id = "beat", .body = body})
              .status == 200;
 }
 
@@ -197,11 +193,14 @@
     std::string keys;
     for (const std::string& key : this->live_keys) {
       if (AccountOf(key) == name) {
-        keys += (keys.empty() ? "\"" : ",\"") + key + "\"";
+        keys.append(keys.empty() ? "\"" : ",\"").append(key).append("\"");
       }
     }
-    accounts += (accounts.empty() ? "[\"" : ",[\"") + name + "\",[" + keys +
-                "],40,40]";
+    accounts.append(accounts.empty() ? "[\"" : ",[\"")
+        .append(name)
+        .append("\",[")
+        .append(keys)
+        .append("],40,40]");
   }
   this->store.PutManifest(
       R"({"version":"r)" + std::to_string(++this->manifest_version) +
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -69,7 +69,9 @@
     bool has_ended = false;  // by itself
   };
 
-  int BasePort(int vm) const { return this->options.first_port + 20 * (vm + 1); }
+  int BasePort(int vm) const {
+    return this->options.first_port + 20 * (vm + 1);
+  }
   void StartDaemon(int vm);
   void NewInstance(Vm& vm, int number);
   // Announces the target to its daemon; returns whether that was acknowledged.
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -57,8 +57,8 @@
     request.key = keys.at(random() % keys.size());
     request.account = "club-" + request.key.substr(1, 1);
     request.is_idempotent = random() % 2 == 0;
-    request.vm = static_cast<int>(random() %
-                                  static_cast<std::uint64_t>(fleet.vms()));
+    request.vm =
+        static_cast<int>(random() % static_cast<std::uint64_t>(fleet.vms()));
     request.sent_at = Clock::now();
     const HttpAnswer answer =
         connections.at(static_cast<std::size_t>(request.vm))
@@ -116,6 +116,7 @@
   std::this_thread::sleep_for(milliseconds(1'000));
   std::atomic<bool> runs = true;
   std::vector<std::thread> clients;
+  clients.reserve(static_cast<std::size_t>(options.clients));
   for (int i = 0; i < options.clients; ++i) {
     clients.emplace_back(
         [&, i] { SendRequests(options, i, fleet, observations, runs); });
@@ -123,6 +124,7 @@
   const auto begin = Clock::now();
   RecordPlannedStops(faults, begin, observations);
   std::vector<std::thread> players;
+  players.reserve(faults.size());
   for (const Fault& fault : faults) {
     std::this_thread::sleep_until(begin + fault.at);
     players.emplace_back([&fleet, fault] { fleet.Play(fault); });
@@ -147,8 +149,8 @@
     broken.push_back(name + " ended by itself");
   }
   std::cout << "seed " << options.seed << ": " << observations.request_count()
-            << " requests, " << faults.size() << " faults, "
-            << broken.size() << " broken promises" << std::endl;
+            << " requests, " << faults.size() << " faults, " << broken.size()
+            << " broken promises" << std::endl;
   return broken;
 }
 
@@ -165,10 +167,9 @@
       std::filesystem::remove_all(options.logs);
     } else if (!broken.empty()) {
       ++failed;
-      for (const Fault& fault :
-           MakeSchedule({.seed = options.seed,
-                         .length = options.length,
-                         .vms = options.vms})) {
+      for (const Fault& fault : MakeSchedule({.seed = options.seed,
+                                .length = options.length,
+                                .vms = options.vms})) {
         std::cout << "  " << Describe(fault) << "\n";
       }
       std::cout << "  logs: " << options.logs << std::endl;
--- a/tests/soak/promises.cpp
+++ b/tests/soak/promises.cpp
@@ -72,8 +72,7 @@
       broken.push_back(request.id + " was answered but never ran");
     }
     if (!request.is_idempotent && count > 1) {
-      broken.push_back(request.id + " ran " + std::to_string(count) +
-                       " times");
+      broken.push_back(request.id + " ran " + std::to_string(count) + " times");
     }
     if (SaysNotRun(request.status) && count > 0) {
       broken.push_back(request.id + " ran and was answered " +
@@ -100,8 +99,7 @@
   for (const auto& [id, runs_of_request] : this->runs) {
     for (const Run& run : runs_of_request) {
       const auto left = this->leaving.find(run.instance);
-      if (left != this->leaving.end() &&
-          run.at > left->second + bounds.drain) {
+      if (left != this->leaving.end() && run.at > left->second + bounds.drain) {
         broken.push_back(id + " reached " + run.instance +
                          " after it had left");
       }
@@ -136,8 +134,7 @@
     if (static_cast<double>(largest) > most) {
       broken.push_back(account + " ran " + std::to_string(largest) +
                        " requests in a window, " +
-                       std::to_string(static_cast<int>(most)) +
-                       " are allowed");
+                       std::to_string(static_cast<int>(most)) + " are allowed");
     }
   }
 }
@@ -145,13 +142,13 @@
 void Observations::CheckPlannedStops(std::vector<std::string>& broken) const {
   for (const Request& request : this->requests) {
     const bool is_lost = request.status == 0 && this->RunsOf(request.id) > 0;
-    const bool is_in_stop = std::any_of(
-        this->planned_stops.begin(), this->planned_stops.end(),
-        [&](const auto& stop) {
-          return stop.first == request.vm &&
-                 request.sent_at >= stop.second.begin &&
-                 request.ended_at <= stop.second.end;
-        });
+    const bool is_in_stop =
+        std::any_of(this->planned_stops.begin(), this->planned_stops.end(),
+                    [&](const auto& stop) {
+                      return stop.first == request.vm &&
+                             request.sent_at >= stop.second.begin &&
+                             request.ended_at <= stop.second.end;
+                    });
     if (is_lost && is_in_stop) {
       broken.push_back(request.id +
                        " ran and got no answer in a planned stop of vm-" +
@@ -178,8 +175,8 @@
   std::size_t served = 0;
   for (const Request* request : sent) {
     constexpr unsigned kOverRate = 429;
-    if (request->status == kOverRate && sent_by_account[request->account] >
-                                            bounds.account_rate * seconds) {
+    if (request->status == kOverRate &&
+        sent_by_account[request->account] > bounds.account_rate * seconds) {
       continue;
     }
     ++owed;
--- a/tests/soak/promises.h
+++ b/tests/soak/promises.h
@@ -22,7 +22,7 @@
   int vm = 0;
   Clock::time_point sent_at;
   Clock::time_point ended_at;
-  unsigned status = 0;     // 0: the connection ended without a whole answer
+  unsigned status = 0;      // 0: the connection ended without a whole answer
   std::string answered_id;  // the id in the answer's body
 
   bool operator==(const Request&) const = default;
--- a/tests/soak/promises_test.cpp
+++ b/tests/soak/promises_test.cpp
@@ -10,7 +10,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const Clock::time_point kStart = Clock::time_point() + std::chrono::hours(1);
+constexpr Clock::time_point kStart =
+    Clock::time_point() + std::chrono::hours(1);
 
 Request Answered(const std::string& id, unsigned status) {
   return {.id = id,
@@ -87,8 +88,7 @@
     for (int i = 0; i < 400; ++i) {
       const std::string id = "x" + std::to_string(i);
       seen.AddRequest(Answered(id, 200));
-      seen.AddRun(
-          {.id = id, .instance = "i1", .at = kStart + milliseconds(i)});
+      seen.AddRun({.id = id, .instance = "i1", .at = kStart + milliseconds(i)});
     }
     CHECK(seen.BrokenPromises({}).size() == 1);
   }
--- a/tests/soak/schedule.cpp
+++ b/tests/soak/schedule.cpp
@@ -10,11 +10,11 @@
 using std::chrono::milliseconds;
 
 constexpr std::array<std::string_view, kFaultKinds> kNames = {
-    "kill",         "planned-stop",    "pause",          "delay",
-    "reset-links",  "cut-one-way",     "silence",        "narrow",
-    "store-down",   "store-silent",    "store-slow",     "store-lost",
-    "withdraw-key", "new-manifest",    "drain-target",   "crash-target",
-    "lose-answers", "second-answers",  "endless-answers", "silent-target"};
+    "kill",         "planned-stop",   "pause",           "delay",
+    "reset-links",  "cut-one-way",    "silence",         "narrow",
+    "store-down",   "store-silent",   "store-slow",      "store-lost",
+    "withdraw-key", "new-manifest",   "drain-target",    "crash-target",
+    "lose-answers", "second-answers", "endless-answers", "silent-target"};
 
 constexpr int kMinFaults = 4;
 constexpr int kMaxFaults = 9;
@@ -37,8 +37,8 @@
     Fault fault{
         .kind = static_cast<FaultKind>(below(kFaultKinds)),
         .at = milliseconds(below(options.length.count())),
-        .length = kMinLength + milliseconds(below(
-                                   (kMaxLength - kMinLength).count())),
+        .length =
+            kMinLength + milliseconds(below((kMaxLength - kMinLength).count())),
         .vm = static_cast<int>(below(options.vms))};
     faults.push_back(fault);
     if (below(100) < kSeriesPercent) {
--- a/tests/soak/schedule.h
+++ b/tests/soak/schedule.h
@@ -10,26 +10,26 @@
 namespace lycheewell::soak {
 
 enum class FaultKind {
-  kKill,             // a daemon is killed and started again
-  kPlannedStop,      // SIGTERM, and a start once the process has ended
-  kPause,            // SIGSTOP, and SIGCONT after `length`
-  kDelay,            // what goes to a daemon is late
-  kResetLinks,       // connections to a daemon are reset
-  kCutOneWay,        // what a daemon answers on its links is held up
-  kSilence,          // nothing passes on the links to a daemon
-  kNarrow,           // the links to a daemon carry few bytes
-  kStoreDown,        // the store refuses all calls
-  kStoreSilent,      // the store answers nothing
-  kStoreSlow,        // the store answers late
-  kStoreLost,        // the store executes calls whose answers are lost
-  kWithdrawKey,      // a new manifest withdraws a key
-  kNewManifest,      // a new manifest changes nothing for the clients
-  kDrainTarget,      // a target leaves; another one comes in its place
-  kCrashTarget,      // a target ends at once; another one comes in its place
-  kLoseAnswers,      // a target runs requests and closes their connections
-  kSecondAnswers,    // a target sends answers twice, the second time late
-  kEndlessAnswers,   // a target sends bytes without end
-  kSilentTarget,     // a target's announcements stop, its work goes on
+  kKill,            // a daemon is killed and started again
+  kPlannedStop,     // SIGTERM, and a start once the process has ended
+  kPause,           // SIGSTOP, and SIGCONT after `length`
+  kDelay,           // what goes to a daemon is late
+  kResetLinks,      // connections to a daemon are reset
+  kCutOneWay,       // what a daemon answers on its links is held up
+  kSilence,         // nothing passes on the links to a daemon
+  kNarrow,          // the links to a daemon carry few bytes
+  kStoreDown,       // the store refuses all calls
+  kStoreSilent,     // the store answers nothing
+  kStoreSlow,       // the store answers late
+  kStoreLost,       // the store executes calls whose answers are lost
+  kWithdrawKey,     // a new manifest withdraws a key
+  kNewManifest,     // a new manifest changes nothing for the clients
+  kDrainTarget,     // a target leaves; another one comes in its place
+  kCrashTarget,     // a target ends at once; another one comes in its place
+  kLoseAnswers,     // a target runs requests and closes their connections
+  kSecondAnswers,   // a target sends answers twice, the second time late
+  kEndlessAnswers,  // a target sends bytes without end
+  kSilentTarget,    // a target's announcements stop, its work goes on
 };
 
 constexpr int kFaultKinds = 20;
--- a/tests/soak/target.cpp
+++ b/tests/soak/target.cpp
@@ -120,9 +120,8 @@
     bytes.erase(0, body_size);
     const std::string id = HeaderOf(head, "Request-Id");
     if (HeaderOf(head, "Expected-Instance") != this->instance()) {
-      const std::string answer =
-          AnswerWith(id, "HTTP/1.1 421 Misdirected Request\r\n",
-                     "Not-Executed: 1\r\n");
+      const std::string answer = AnswerWith(
+          id, "HTTP/1.1 421 Misdirected Request\r\n", "Not-Executed: 1\r\n");
       co_await asio::async_write(*socket, asio::buffer(answer),
                                  asio::use_awaitable);
       continue;
