--- a/tests/sidecar/whole_path_test.cpp
+++ b/tests/sidecar/whole_path_test.cpp
@@ -85,14 +85,15 @@
 };
 
 Reply SendRequest(int port, Verb verb, const std::string& target,
-                  const std::string& key, const std::string& body = "") {
+                  const std::string& key, const std::string& body = "",
+                  milliseconds limit = milliseconds(3000)) {
   static std::atomic<int> last_id = 0;
   asio::io_context context;
   beast::tcp_stream stream(context);
   Request request(verb, target, 11);
   request.set("Host", "a.example");
   request.set("Request-Id", "r" + std::to_string(++last_id));
-  request.set("Deadline-Ms", "3000");
+  request.set("Deadline-Ms", std::to_string(limit.count()));
   if (!key.empty()) {
     request.set("Authorization", "Bearer " + key);
   }
@@ -205,6 +206,7 @@
          R"(","routes":{"columns":["name","host","pathPrefix","kind","timeout","targetLatency",)"
          R"("priority","attempts","public","service"],"rows":[)"
          R"(["pay","a.example","/pay/","unsafe","2000ms","1500ms",0,2,false,"s"],)"
+         R"(["long","a.example","/long/","unsafe","7000ms","6000ms",0,2,false,"s"],)"
          R"(["look","a.example","/look/","safe","2000ms","1500ms",2,2,false,"s"]]},)"
          R"("services":{"columns":["name","healthPath","maxConnections"],"rows":[["s","/h",99]]},)"
          R"("tenants":{"columns":["name","apiKeys"],"rows":[["club",[)" +
@@ -326,6 +328,23 @@
     CHECK(first.process->Wait() == 0);
     CHECK(std::chrono::steady_clock::now() - begin < seconds(6));
   }
+  SECTION(
+      "work beside a sidecar that is silent for seconds is neither given up "
+      "nor "
+      "started again") {
+    const int runs = second.target->runs;
+    auto slow = std::async(std::launch::async, [&] {
+      return SendRequest(first.base_port, Verb::post, "/long/1?wait=4200", "k1",
+                         "", milliseconds(7000));
+    });
+    std::this_thread::sleep_for(milliseconds(200));
+    second.process->Signal(SIGSTOP);
+    std::this_thread::sleep_for(milliseconds(3600));
+    CHECK(first.Log().find("kept for its calls") != std::string::npos);
+    second.process->Signal(SIGCONT);
+    CHECK(slow.get().status == 200);
+    CHECK(second.target->runs == runs + 1);
+  }
   // As in a rolling restart: the sidecar stops, its target keeps running.
   SECTION("a sidecar serves its target again after a graceful restart") {
     first.Announce("ready");
--- a/tests/soak/schedule.cpp
+++ b/tests/soak/schedule.cpp
@@ -23,6 +23,15 @@
 constexpr int kSeriesPercent = 30;
 constexpr milliseconds kSeriesGap{700};
 
+// Outages of the store outlast the time in which a withdrawn key must stop
+// working; during every other one a key is withdrawn.
+constexpr milliseconds kExtraStoreTime{6'000};
+constexpr milliseconds kWithdrawalDelay{500};
+
+bool IsStoreFault(FaultKind kind) {
+  return kind == FaultKind::kStoreDown || kind == FaultKind::kStoreSilent;
+}
+
 }  // namespace
 
 std::vector<Fault> MakeSchedule(const ScheduleOptions& options) {
@@ -40,6 +49,14 @@
         .length =
             kMinLength + milliseconds(below((kMaxLength - kMinLength).count())),
         .vm = static_cast<int>(below(options.vms))};
+    if (IsStoreFault(fault.kind)) {
+      if (fault.length.count() % 2 == 0) {
+        faults.push_back({.kind = FaultKind::kWithdrawKey,
+                          .at = fault.at + kWithdrawalDelay,
+                          .vm = fault.vm});
+      }
+      fault.length += kExtraStoreTime;
+    }
     faults.push_back(fault);
     if (below(100) < kSeriesPercent) {
       // The same on other VMs, one after the other.
