--- a/packages/sidecar/include/lycheewell/sidecar/links/mesh.h
+++ b/packages/sidecar/include/lycheewell/sidecar/links/mesh.h
@@ -159,6 +159,11 @@
   // Adds or updates a member unless a record with the same or a newer
   // incarnation is known.
   void UpdateMember(const mesh::Member& member);
+  // Closes the dialled and the silent links to the member.
+  void CloseLinksTo(const std::string& name, const std::string& reason);
+  // Drops a member; other daemons that still know this start of it do not bring
+  // it back.
+  void Forget(const std::string& name);
   void Dial(const std::string& name);
   // Doubles the backoff unless `reset_backoff` is true.
   void ScheduleRedial(const std::string& name, bool reset_backoff);
--- a/packages/sidecar/src/links/mesh.cpp
+++ b/packages/sidecar/src/links/mesh.cpp
@@ -186,10 +186,8 @@
                   {{"member", member.name()},
                    {"address", member.address()},
                    {"incarnation", std::to_string(member.incarnation())}});
-  if (!is_new && peer.dialled) {
-    const LinkPointer old = peer.dialled;
-    old->Close();
-    this->OnDialledClosed(old, "member restarted");
+  if (!is_new) {
+    this->CloseLinksTo(member.name(), "member restarted");
   }
   if (member.is_leaving()) {
     this->RemoveMember(member.name(), "member left");
@@ -198,6 +196,32 @@
   this->Dial(member.name());
 }
 
+void Mesh::CloseLinksTo(const std::string& name, const std::string& reason) {
+  std::vector<LinkPointer> links;
+  for (const auto& [id, silent] : this->silent_links) {
+    if (silent.link->member == name) {
+      links.push_back(silent.link);
+    }
+  }
+  const auto found = this->peers.find(name);
+  if (found != this->peers.end() && found->second.dialled) {
+    links.push_back(found->second.dialled);
+  }
+  for (const LinkPointer& link : links) {
+    link->Close();
+    this->OnDialledClosed(link, reason);
+  }
+}
+
+void Mesh::Forget(const std::string& name) {
+  const auto found = this->peers.find(name);
+  if (this->dropped_incarnations.size() >= kMaxDroppedIncarnations) {
+    this->dropped_incarnations.erase(this->dropped_incarnations.begin());
+  }
+  this->dropped_incarnations[name] = found->second.member.incarnation();
+  this->peers.erase(found);
+}
+
 void Mesh::Dial(const std::string& name) {
   const auto found = this->peers.find(name);
   if (found == this->peers.end() || found->second.dialled) {
@@ -438,7 +462,7 @@
   this->RefreshDigest();
   this->options.hooks.on_removed(name);
   if (!peer.dialled) {
-    this->peers.erase(found);
+    this->Forget(name);
   }
 }
 
@@ -536,12 +560,7 @@
   }
   for (const std::string& name : removable) {
     this->options.hooks.on_removed(name);
-    if (this->dropped_incarnations.size() >= kMaxDroppedIncarnations) {
-      this->dropped_incarnations.erase(this->dropped_incarnations.begin());
-    }
-    this->dropped_incarnations[name] =
-        this->peers.at(name).member.incarnation();
-    this->peers.erase(name);
+    this->Forget(name);
   }
   if (!removable.empty()) {
     this->RefreshDigest();
