--- a/packages/core/src/overload/demand_model.cpp
+++ b/packages/core/src/overload/demand_model.cpp
@@ -35,7 +35,7 @@
 // route may be served less than a quarter as often as all requests.
 // kMinAdmittedFraction admits enough requests to keep the estimate of the slot
 // demand current.
-constexpr double kMinFractionOfOverall = 0.35;
+constexpr double kMinFractionOfOverall = 0.45;
 constexpr double kMinAdmittedFraction = 0.05;
 
 // Each round halves the distance of the bound from its fixed point.
