--- a/packages/sidecar/src/links/mesh.cpp
+++ b/packages/sidecar/src/links/mesh.cpp
@@ -65,7 +65,7 @@
 
 // Rendezvous key that elects the daemon which sums the demand of its data
 // centre for the other ones.
-constexpr std::string_view kDemandSummerRole = "demand";
+constexpr std::string_view kDemandAggregatorRole = "demand";
 
 // Rendezvous key of the digest of the members.
 constexpr std::string_view kDigestKey = "members";
@@ -554,7 +554,7 @@
       frame.mutable_ping()->set_id(peer.ping_id);
       frame.mutable_ping()->set_wants_data_centre_demand(
           peer.member.data_centre() != this->self.data_centre() &&
-          this->is_first_of_its_data_centre(name, kDemandSummerRole));
+          this->is_first_of_its_data_centre(name, kDemandAggregatorRole));
       link->Send(frame);
     }
   }
