Sidecar path: a request that crashes its targets is refused by the whole fleet

Cause: the sidecar path kept no memory of what ran at a crash. A broken connection was "may have run", the frontend repeated the request elsewhere and each client attempt began anew.

Change: after a broken exchange the gate finds out whether the target is gone, marks what ran there in all sidecars before it reports the broken run, and admits one marked request at a time. The one that is there at the second crash is quarantined. Marks are kept by peers and in the store.

Why it works: the request is known to every daemon before it can be repeated, as one of few suspects; alone among suspects at the second crash, it is found. A daemon that starts has the marks from the store and from the first message of each link. A request that a target answers is cleared.

The sidecars' stand-ins move from whole_path_test.cpp to the harness, unchanged but for crashes; the store's stand-in takes several records a call, drops keys and has doors with faults of their own.

--- a/packages/core/src/quarantine/crash_marks.cpp
+++ b/packages/core/src/quarantine/crash_marks.cpp
@@ -1,39 +1,191 @@
 #include "lycheewell/core/quarantine/crash_marks.h"
 
+#include <algorithm>
+
+#include "lycheewell/core/digest.h"
+
 namespace lycheewell::core::quarantine {
+namespace {
+
+constexpr std::size_t kFingerprintDigits = 16;
+
+// After a quarantine of some length its request stays a suspect until this many
+// times that length have passed.
+constexpr int kSuspicionFactor = 4;
+
+}  // namespace
+
+std::string FingerprintOf(std::string_view account, std::string_view method,
+                          std::string_view host,
+                          std::string_view path_and_query,
+                          std::string_view body) {
+  std::string input;
+  for (const std::string_view part :
+       {account, method, host, path_and_query, body}) {
+    input += std::to_string(part.size());
+    input += ':';
+    input += part;
+  }
+  return Sha256Hex(input).substr(0, kFingerprintDigits);
+}
 
 void CrashMarks::Add(const CrashMark& mark, Instant now) {
-  if (this->marks.size() >= kMaxMarks &&
-      !this->marks.contains(mark.fingerprint)) {
+  if ((this->marks.size() >= kMaxMarks &&
+       !this->marks.contains(mark.fingerprint)) ||
+      this->withdrawn.contains({mark.fingerprint, mark.target})) {
     return;
   }
-  Entry& entry = this->marks[mark.fingerprint];
-  entry.targets.insert(mark.target.id + "#" +
-                       std::to_string(mark.target.incarnation));
-  entry.expires_at = now + kMarkLifetime;
+  auto& crashes = this->marks[mark.fingerprint].crashes;
+  const auto [known, is_new] = crashes.try_emplace(
+      mark.target, Crash{.at = now, .is_sole_suspect = mark.is_sole_suspect});
+  if (is_new && crashes.size() > kMaxMarksPerRequest) {
+    crashes.erase(std::min_element(crashes.begin(), crashes.end(),
+                                   [](const auto& left, const auto& right) {
+                                     return left.second.at < right.second.at;
+                                   }));
+  }
 }
 
 void CrashMarks::Clear(const std::string& fingerprint) {
   this->marks.erase(fingerprint);
 }
 
+void CrashMarks::Erase(const std::string& fingerprint,
+                       const DaemonRef& target) {
+  const auto found = this->marks.find(fingerprint);
+  if (found == this->marks.end()) {
+    return;
+  }
+  found->second.crashes.erase(target);
+  if (found->second.crashes.empty()) {
+    this->marks.erase(found);
+  }
+}
+
+std::vector<CrashMark> CrashMarks::Withdraw(const std::string& fingerprint,
+                                            Instant now) {
+  std::vector<CrashMark> cleared;
+  const auto found = this->marks.find(fingerprint);
+  if (found == this->marks.end()) {
+    return cleared;
+  }
+  for (const auto& [target, crash] : found->second.crashes) {
+    cleared.push_back({.fingerprint = fingerprint,
+                       .target = target,
+                       .is_sole_suspect = crash.is_sole_suspect});
+  }
+  for (const CrashMark& mark : cleared) {
+    this->Withdraw(mark, now);
+  }
+  return cleared;
+}
+
+void CrashMarks::Withdraw(const CrashMark& mark, Instant now) {
+  this->Erase(mark.fingerprint, mark.target);
+  if (this->withdrawn.size() < kMaxMarks) {
+    this->withdrawn[{mark.fingerprint, mark.target}] = now + kMarkLifetime;
+  }
+}
+
 void CrashMarks::Expire(Instant now) {
   std::erase_if(this->marks, [&](const auto& entry) {
-    return entry.second.expires_at <= now;
+    return ExpiryOf(entry.second) <= now;
   });
+  std::erase_if(this->withdrawn,
+                [&](const auto& entry) { return entry.second <= now; });
+}
+
+std::size_t CrashMarks::CountSoleSuspectCrashes(const Entry& entry) {
+  return static_cast<std::size_t>(std::count_if(
+      entry.crashes.begin(), entry.crashes.end(),
+      [](const auto& crash) { return crash.second.is_sole_suspect; }));
+}
+
+Instant CrashMarks::LastCrash(const Entry& entry) {
+  Instant last = Instant::min();
+  for (const auto& [target, crash] : entry.crashes) {
+    last = std::max(last, crash.at);
+  }
+  return last;
+}
+
+Duration CrashMarks::QuarantineTime(const Entry& entry) {
+  const std::size_t proofs = CountSoleSuspectCrashes(entry);
+  if (entry.crashes.size() < kCrashesToQuarantine || proofs == 0) {
+    return Duration::zero();
+  }
+  // The crash that completed the evidence starts the first quarantine.
+  const std::size_t renewals = entry.crashes.size() - kCrashesToQuarantine;
+  return kMarkLifetime * (1U << std::min(renewals, proofs));
+}
+
+Instant CrashMarks::ExpiryOf(const Entry& entry) {
+  const Duration quarantine = QuarantineTime(entry);
+  return LastCrash(entry) + (quarantine > Duration::zero()
+                                 ? quarantine * kSuspicionFactor
+                                 : kMarkLifetime);
 }
 
 QuarantineStatus CrashMarks::StatusOf(const std::string& fingerprint,
                                       Instant now) const {
   const auto found = this->marks.find(fingerprint);
-  if (found == this->marks.end() || found->second.expires_at <= now) {
+  if (found == this->marks.end() || ExpiryOf(found->second) <= now) {
     return QuarantineStatus::kClear;
   }
-  return found->second.targets.size() >= kCrashesToQuarantine
+  return now < LastCrash(found->second) + QuarantineTime(found->second)
              ? QuarantineStatus::kQuarantined
              : QuarantineStatus::kSuspect;
 }
 
+std::vector<CrashMarks::TimedMark> CrashMarks::Newest(std::size_t limit,
+                                                      Instant now) const {
+  std::vector<TimedMark> newest;
+  for (const auto& [fingerprint, entry] : this->marks) {
+    if (ExpiryOf(entry) <= now) {
+      continue;
+    }
+    for (const auto& [target, crash] : entry.crashes) {
+      newest.push_back({.mark = {.fingerprint = fingerprint,
+                                 .target = target,
+                                 .is_sole_suspect = crash.is_sole_suspect},
+                        .at = crash.at});
+    }
+  }
+  std::stable_sort(newest.begin(), newest.end(),
+                   [](const TimedMark& left, const TimedMark& right) {
+                     return left.at > right.at;
+                   });
+  if (newest.size() > limit) {
+    newest.resize(limit);
+  }
+  return newest;
+}
+
+std::vector<CrashMark> MarksOfCrash(const DaemonRef& target,
+                                    const std::vector<RunningRequest>& running,
+                                    const CrashMarks& marks, Instant now) {
+  std::map<std::string, bool> is_suspect;  // by fingerprint
+  for (const RunningRequest& request : running) {
+    bool& known = is_suspect.try_emplace(request.fingerprint).first->second;
+    known = known || request.is_suspect;
+  }
+  const bool has_suspect =
+      std::any_of(is_suspect.begin(), is_suspect.end(),
+                  [](const auto& request) { return request.second; });
+  std::vector<CrashMark> left;
+  for (const auto& [fingerprint, was_admitted_as_suspect] : is_suspect) {
+    if (has_suspect && !was_admitted_as_suspect &&
+        marks.StatusOf(fingerprint, now) != QuarantineStatus::kClear) {
+      continue;
+    }
+    left.push_back(
+        {.fingerprint = fingerprint,
+         .target = target,
+         .is_sole_suspect = was_admitted_as_suspect || is_suspect.size() == 1});
+  }
+  return left;
+}
+
 std::vector<std::string> FingerprintsToMark(
     const std::vector<std::string>& running, const CrashMarks& marks,
     Instant now) {
--- a/packages/sidecar/include/lycheewell/sidecar/hooks.h
+++ b/packages/sidecar/include/lycheewell/sidecar/hooks.h
@@ -114,12 +114,12 @@
   bool operator==(const StoredManifest&) const = default;
 };
 
-// A member's record in the store.
-struct StoredMember {
+// A record of the fleet in the store. The newest one of each key counts.
+struct StoredRecord {
   std::string key;
-  std::string value;
+  std::string value;  // empty: the key is dropped
 
-  bool operator==(const StoredMember&) const = default;
+  bool operator==(const StoredRecord&) const = default;
 };
 
 template <typename Value>
@@ -136,8 +136,10 @@
   std::function<void(std::uint64_t from, core::Duration wait,
                      StoreCallback<StoredManifest>)>
       await_manifest;
-  std::function<void(const StoredMember&, StoreCallback<Done>)> put_member;
-  std::function<void(StoreCallback<std::vector<StoredMember>>)> list_members;
+  // Writes all of the records or none.
+  std::function<void(const std::vector<StoredRecord>&, StoreCallback<Done>)>
+      put_records;
+  std::function<void(StoreCallback<std::vector<StoredRecord>>)> list_records;
 };
 
 }  // namespace lycheewell::sidecar
--- a/packages/sidecar/include/lycheewell/sidecar/links/mesh.h
+++ b/packages/sidecar/include/lycheewell/sidecar/links/mesh.h
@@ -14,6 +14,7 @@
 #include "lycheewell/sidecar/decision_log.h"
 #include "lycheewell/sidecar/hooks.h"
 #include "lycheewell/sidecar/links/link.h"
+#include "lycheewell/sidecar/records/own_records.h"
 #include "lycheewell/sidecar/settings.h"
 #include "lycheewell/sidecar/timer_queue.h"
 
@@ -61,6 +62,9 @@
     // is empty when it is not known yet.
     std::function<void(mesh::Hello&, const std::string& receiver)> fill_hello;
     std::function<void(const mesh::Hello&)> on_hello;
+    // A record other than a member's was found in the store at the start.
+    std::function<void(const records::RecordKey&, const std::string& value)>
+        on_record;
   };
 
   struct Options {
@@ -153,9 +157,9 @@
 
   void Accept();
   void AddAccepted(boost::asio::ip::tcp::socket socket);
-  // Writes this daemon's record to the store, then reads the others'.
+  // Writes this daemon's record to the store, then reads all records.
   void RegisterSelf();
-  void ListMembers();
+  void ListRecords();
   // Adds or updates a member unless a record with the same or a newer
   // incarnation is known.
   void UpdateMember(const mesh::Member& member);
--- a/packages/sidecar/include/lycheewell/sidecar/requests/frontend.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/frontend.h
@@ -25,6 +25,7 @@
 #include "lycheewell/sidecar/manifest/manifest_keeper.h"
 #include "lycheewell/sidecar/requests/account_limiter.h"
 #include "lycheewell/sidecar/requests/gate.h"
+#include "lycheewell/sidecar/requests/quarantine.h"
 #include "lycheewell/sidecar/settings.h"
 
 namespace lycheewell::sidecar::requests {
@@ -38,6 +39,7 @@
     links::Mesh& mesh;
     AccountLimiter& accounts;
     Gate& gate;
+    const Quarantine& quarantine;
     Counters& counters;
   };
 
@@ -115,6 +117,8 @@
             std::string_view reason);
   // Calls made by targets carry no key.
   static bool IsCallByTarget(const PendingPointer& pending);
+  // Refuses a request that has crashed targets; returns whether it did.
+  bool RefuseQuarantined(const PendingPointer& pending);
   void RecordStarvedCall(const PendingPointer& pending);
   void RecordFailedCall(const PendingPointer& pending, unsigned status);
   void Close(const PendingPointer& pending);
--- a/packages/sidecar/include/lycheewell/sidecar/requests/gate.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/gate.h
@@ -18,10 +18,12 @@
 
 #include "lycheewell/core/overload/call_tracker.h"
 #include "lycheewell/core/overload/slot_gate.h"
+#include "lycheewell/core/quarantine/crash_detector.h"
 #include "lycheewell/core/routing/failure_rate.h"
 #include "lycheewell/sidecar/decision_log.h"
 #include "lycheewell/sidecar/hooks.h"
 #include "lycheewell/sidecar/http/client_connection.h"
+#include "lycheewell/sidecar/requests/quarantine.h"
 #include "lycheewell/sidecar/settings.h"
 #include "lycheewell/sidecar/timer_queue.h"
 
@@ -45,6 +47,9 @@
   bool is_idempotent = false;
   // Another target of the service has refused it.
   bool was_refused = false;
+  std::string fingerprint;  // see core::quarantine::FingerprintOf
+  // The sending daemon knows that it was running when a target crashed.
+  bool is_suspect = false;
 };
 
 // The client request on whose behalf a target makes a call.
@@ -57,6 +62,8 @@
 
 // Reason for refusing a request that gets no slot of the target in time.
 inline constexpr std::string_view kNoSlot = "no slot in time";
+// Reason for refusing a request that has crashed targets.
+inline constexpr std::string_view kQuarantined = "it has crashed targets";
 
 enum class Outcome { kAnswered, kNotRun, kMayHaveRun };
 
@@ -86,6 +93,7 @@
     std::function<core::Instant()> last_starved_call;
     // When a call made by the target last failed for any reason.
     std::function<core::Instant()> last_failed_call;
+    Quarantine& quarantine;
   };
 
   Gate(boost::asio::io_context& context, TimerQueue& timers, DecisionLog& log,
@@ -148,14 +156,38 @@
     TimerQueue::Id timer = 0;
     bool is_running = false;
     bool is_abandoned = false;
+    bool is_suspect = false;  // admitted as the target's only suspect
+  };
+
+  // The end of a run whose connection broke. It is held back until it is known
+  // whether the target crashed, so that the caller learns that first.
+  struct BrokenRun {
+    Callback done;
+    GateReply reply;
   };
 
   core::Duration MeanWorkOf(const std::string& route) const;
+  // Runs, queues or refuses a call by the slots of the target.
+  void OfferSlot(Ticket ticket);
+  // Offers the call now if it is the only suspect, or else after the others.
+  void OfferSuspect(Ticket ticket);
+  void OfferNextSuspect();
+  // Forgets the call; the next suspect takes its turn.
+  void EraseCall(Ticket ticket);
+  core::Instant LatestStart(const GateCall& call) const;
   void RecordRun(const Call& call, GateReply& reply, core::Instant now);
   void Run(Ticket ticket);
   // Accounts for the end of a running call.
   void ReleaseSlot(Ticket ticket, const Call& call, core::Instant now);
   void Finish(Ticket ticket, http::ExchangeOutcome outcome);
+  // Ends a run without an answer.
+  void FinishBroken(Ticket ticket, const http::ExchangeProblem& problem);
+  // Finds out whether the target still takes connections.
+  void CheckForCrash();
+  // The target's process is gone or replaced; it has not announced that.
+  void ConfirmCrash();
+  void ReleaseBrokenRuns();
+  bool has_usable_connection() const;
   void Reply(Ticket ticket, GateReply reply);
   void Refuse(Ticket ticket, std::string_view reason,
               core::Duration retry_after);
@@ -188,6 +220,11 @@
   std::map<std::string, core::Duration> mean_work;  // by route
   std::map<std::string, OriginWork> work_of_origin;
   core::overload::CallTracker tracker;
+  core::quarantine::CrashDetector crash_detector;
+  std::vector<BrokenRun> broken_runs;
+  bool is_checking_for_crash = false;
+  std::optional<Ticket> suspect;  // the one that has its turn
+  std::deque<Ticket> waiting_suspects;
   core::routing::FailureRate failures;
 
   Announcement target;  // the latest announcement
--- a/packages/sidecar/src/links/mesh.cpp
+++ b/packages/sidecar/src/links/mesh.cpp
@@ -136,8 +136,8 @@
 }
 
 void Mesh::RegisterSelf() {
-  this->options.store.put_member(
-      {.key = this->self.name(), .value = this->self.SerializeAsString()},
+  this->options.store.put_records(
+      {{.key = this->self.name(), .value = this->self.SerializeAsString()}},
       [this](auto result) {
         if (std::holds_alternative<StoreError>(result)) {
           this->timers.After(kRetryDelay, [this] { this->RegisterSelf(); });
@@ -145,19 +145,23 @@
         }
         this->log.Write(Event::kMemberAnnounced,
                         {{"address", this->self.address()}});
-        this->ListMembers();
+        this->ListRecords();
       });
 }
 
-void Mesh::ListMembers() {
-  this->options.store.list_members([this](auto result) {
-    auto* members = std::get_if<std::vector<StoredMember>>(&result);
-    if (members == nullptr) {
-      this->timers.After(kRetryDelay, [this] { this->ListMembers(); });
+void Mesh::ListRecords() {
+  this->options.store.list_records([this](auto result) {
+    auto* stored_records = std::get_if<std::vector<StoredRecord>>(&result);
+    if (stored_records == nullptr) {
+      this->timers.After(kRetryDelay, [this] { this->ListRecords(); });
       return;
     }
     this->listed = true;
-    for (const StoredMember& stored : *members) {
+    for (const StoredRecord& stored : *stored_records) {
+      if (const auto key = records::DecodeKey(stored.key)) {
+        this->options.hooks.on_record(*key, stored.value);
+        continue;
+      }
       mesh::Member member;
       if (!member.ParseFromString(stored.value)) {
         this->log.Write(Event::kBadPeerMessage,
--- a/packages/sidecar/src/requests/frontend.cpp
+++ b/packages/sidecar/src/requests/frontend.cpp
@@ -8,6 +8,7 @@
 
 namespace lycheewell::sidecar::requests {
 using core::manifest::Route;
+using core::quarantine::QuarantineStatus;
 using core::routing::Distance;
 using daemon::events::Event;
 
@@ -101,6 +102,7 @@
   const core::manifest::Account* account = nullptr;
   std::string service;
   std::string origin;  // route of the client request; empty if not known
+  std::string fingerprint;
   core::Instant arrived_at;
   core::Instant deadline;
   core::Instant soft_deadline;
@@ -269,6 +271,13 @@
                : origin->rank;
   }
   pending->rank = rank;
+  pending->fingerprint = core::quarantine::FingerprintOf(
+      pending->account == nullptr ? "" : pending->account->name,
+      pending->request.method, pending->request.host,
+      pending->request.path_and_query, pending->exchange->request().body());
+  if (this->RefuseQuarantined(pending)) {
+    return;
+  }
   pending->exchange->OnDisconnect([this, pending] {
     this->log.Write(
         Event::kCallAbandoned,
@@ -300,6 +309,19 @@
       });
 }
 
+bool Frontend::RefuseQuarantined(const PendingPointer& pending) {
+  if (this->options.quarantine.StatusOf(pending->fingerprint) !=
+      QuarantineStatus::kQuarantined) {
+    return false;
+  }
+  this->log.Write(Event::kRequestQuarantined,
+                  {{"request", pending->request.id},
+                   {"route", pending->route->name},
+                   {"fingerprint", pending->fingerprint}});
+  this->Refuse(pending, 503, kQuarantined, kMaxRetryAfter);
+  return true;
+}
+
 void Frontend::Dispatch(const PendingPointer& pending) {
   const core::Instant now = Now();
   if (pending->service.empty()) {
@@ -339,6 +361,8 @@
                       const core::routing::Choice& choice) {
   const core::Instant now = Now();
   const io::http::Request& message = pending->exchange->request();
+  const bool is_suspect = this->options.quarantine.StatusOf(
+                              pending->fingerprint) != QuarantineStatus::kClear;
   pending->member = choice.member;
   pending->instance = choice.instance;
   pending->link_id = 0;
@@ -365,7 +389,9 @@
          .soft_deadline = pending->soft_deadline,
          .rank = pending->rank,
          .is_idempotent = pending->route->is_idempotent,
-         .was_refused = pending->refusals > 0},
+         .was_refused = pending->refusals > 0,
+         .fingerprint = pending->fingerprint,
+         .is_suspect = is_suspect},
         [this, pending, call_id](GateReply reply) {
           if (!pending->is_closed && pending->call_id == call_id) {
             pending->ticket = 0;
@@ -394,6 +420,8 @@
   call.set_origin(pending->origin);
   call.set_was_refused(pending->refusals > 0);
   call.set_is_idempotent(pending->route->is_idempotent);
+  call.set_fingerprint(pending->fingerprint);
+  call.set_is_suspect(is_suspect);
   call.set_sent_at_us(this->options.mesh.PeerTime(choice.member, now));
   this->remote_calls.emplace(pending->call_id, pending);
   pending->link_id = this->options.mesh.Send(choice.member, frame);
@@ -535,9 +563,12 @@
   ++pending->attempts;
   pending->may_have_run = true;
   pending->excluded.insert(pending->member);
-  const bool may_retry = pending->route->is_idempotent &&
-                         pending->attempts < pending->route->max_attempts &&
-                         pending->deadline - now > kMinTimeLeft;
+  const bool may_retry =
+      pending->route->is_idempotent &&
+      this->options.quarantine.StatusOf(pending->fingerprint) !=
+          QuarantineStatus::kQuarantined &&
+      pending->attempts < pending->route->max_attempts &&
+      pending->deadline - now > kMinTimeLeft;
   if (!may_retry || !this->BudgetOf(pending->service)
                          .Spend(this->options.mesh.daemon_count(), now)) {
     this->Fail(pending, now >= pending->deadline ? 504 : 502, reply.reason);
@@ -561,7 +592,7 @@
     ++pending->attempts;
   }
   const bool may_try_other_target =
-      pending->refusals < kMaxRefusals &&
+      reply.reason != kQuarantined && pending->refusals < kMaxRefusals &&
       pending->deadline - now > kMinTimeLeft &&
       (!reached_target || (pending->attempts < pending->route->max_attempts &&
                            this->BudgetOf(pending->service)
--- a/packages/sidecar/src/requests/gate.cpp
+++ b/packages/sidecar/src/requests/gate.cpp
@@ -1,9 +1,12 @@
 #include "lycheewell/sidecar/requests/gate.h"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
+#include <utility>
 
 #include "lycheewell/io/http/address.h"
 #include "lycheewell/sidecar/clock.h"
+#include "lycheewell/sidecar/http/connect_probe.h"
 
 namespace lycheewell::sidecar::requests {
 using daemon::events::Event;
@@ -37,6 +40,11 @@
 // take the request at once.
 constexpr core::Duration kNoRetryDelay = std::chrono::milliseconds(0);
 
+// After a broken connection the target's other connections are given this long
+// to break, too, before a new one shows whether the target is there.
+constexpr core::Duration kCrashCheckDelay = std::chrono::milliseconds(20);
+constexpr core::Duration kCrashCheckTimeout = std::chrono::milliseconds(200);
+
 // Weight of the moving average of a route's work: about this many recent runs
 // count.
 constexpr int kMeanWorkRuns = 20;
@@ -74,8 +82,12 @@
 }
 
 // Identifies one start of a target: an instance name may be used again.
+core::DaemonRef StartOf(const Announcement& target) {
+  return {.id = target.instance, .incarnation = target.born_ms};
+}
+
 std::string StartName(const Announcement& target) {
-  return target.instance + "@" + std::to_string(target.born_ms);
+  return requests::StartName(StartOf(target));
 }
 
 bool NeedsContentLength(const GateCall& call) {
@@ -129,16 +141,82 @@
     this->Refuse(ticket, "time limit passed", kNoRetryDelay);
     return ticket;
   }
+  using core::quarantine::QuarantineStatus;
+  const QuarantineStatus status =
+      this->options.quarantine.StatusOf(entry.request.fingerprint);
+  if (status == QuarantineStatus::kQuarantined) {
+    this->Refuse(ticket, kQuarantined, kNoRetryDelay);
+  } else if (status == QuarantineStatus::kSuspect || entry.request.is_suspect) {
+    this->OfferSuspect(ticket);
+  } else {
+    this->OfferSlot(ticket);
+  }
+  return ticket;
+}
+
+core::Instant Gate::LatestStart(const GateCall& call) const {
   const auto work = core::Duration(static_cast<core::Duration::rep>(
       kWorkMarginFactor *
-      static_cast<double>(this->MeanWorkOf(entry.request.route).count())));
-  const core::Instant latest_start = std::min(
-      entry.request.soft_deadline - work, entry.request.deadline - work / 2);
-  const auto verdict = this->slots.Offer({.ticket = ticket,
-                                          .rank = entry.request.rank,
-                                          .arrived_at = now,
-                                          .latest_start = latest_start},
-                                         now);
+      static_cast<double>(this->MeanWorkOf(call.route).count())));
+  return std::min(call.soft_deadline - work, call.deadline - work / 2);
+}
+
+void Gate::OfferSuspect(Ticket ticket) {
+  Call& call = this->calls.at(ticket);
+  if (!this->suspect) {
+    this->suspect = ticket;
+    call.is_suspect = true;
+    this->OfferSlot(ticket);
+    return;
+  }
+  const core::Duration wait =
+      this->slots.mean_work() *
+      static_cast<core::Duration::rep>(this->waiting_suspects.size() + 1);
+  if (Now() + wait > this->LatestStart(call.request)) {
+    this->Refuse(ticket, kNoSlot, wait);
+    return;
+  }
+  this->waiting_suspects.push_back(ticket);
+}
+
+void Gate::OfferNextSuspect() {
+  while (!this->suspect && !this->waiting_suspects.empty()) {
+    const Ticket ticket = this->waiting_suspects.front();
+    this->waiting_suspects.pop_front();
+    if (!this->calls.contains(ticket)) {
+      continue;  // cancelled
+    }
+    using core::quarantine::QuarantineStatus;
+    if (!this->accepts_work()) {
+      this->Refuse(ticket, "target does not take work", kNoRetryDelay);
+    } else if (this->options.quarantine.StatusOf(
+                   this->calls.at(ticket).request.fingerprint) ==
+               QuarantineStatus::kQuarantined) {
+      this->Refuse(ticket, kQuarantined, kNoRetryDelay);
+    } else {
+      this->OfferSuspect(ticket);
+    }
+  }
+}
+
+void Gate::EraseCall(Ticket ticket) {
+  this->calls.erase(ticket);
+  if (this->suspect == ticket) {
+    this->suspect.reset();
+    // Not from within the caller, which may still hold references to calls.
+    boost::asio::post(this->context, [this] { this->OfferNextSuspect(); });
+  }
+}
+
+void Gate::OfferSlot(Ticket ticket) {
+  const core::Instant now = Now();
+  const GateCall& request = this->calls.at(ticket).request;
+  const auto verdict =
+      this->slots.Offer({.ticket = ticket,
+                         .rank = request.rank,
+                         .arrived_at = now,
+                         .latest_start = this->LatestStart(request)},
+                        now);
   switch (verdict) {
     case core::overload::SlotDecision::kRun:
       this->Run(ticket);
@@ -147,11 +225,9 @@
       this->ScheduleExpiry();
       break;
     case core::overload::SlotDecision::kRefuse:
-      this->Refuse(ticket, kNoSlot,
-                   this->slots.ExpectedWait(entry.request.rank));
+      this->Refuse(ticket, kNoSlot, this->slots.ExpectedWait(request.rank));
       break;
   }
-  return ticket;
 }
 
 std::shared_ptr<http::ClientConnection> Gate::TakeConnection(
@@ -338,40 +414,121 @@
                         .body = std::move(response->body())};
       is_sample = true;
       this->RecordRun(call, reply, now);
+      this->options.quarantine.OnCompleted(call.request.fingerprint);
     }
     if (call.connection->is_usable()) {
       this->ReturnConnection(call.connection);
     }
   } else {
-    const auto& problem = std::get<http::ExchangeProblem>(outcome);
-    reply.outcome = problem.failure == http::ExchangeFailure::kNotSent
-                        ? Outcome::kNotRun
-                        : Outcome::kMayHaveRun;
-    reply.reason = problem.detail;
-    reply.retry_after = kMinRetryAfter;
-    this->failures.Record(true, now);
-    this->log.Write(Event::kTargetBroke,
-                    {{"request", call.request.request_id},
-                     {"instance", call.request.instance},
-                     {"detail", problem.detail},
-                     {"after_ms", MillisecondsText(now - call.started_at)}});
-    if (problem.is_connection_refused &&
-        this->state == TargetState::kTakesWork) {
-      this->log.Write(Event::kTargetUnreachable,
-                      {{"instance", this->target.instance}});
-      this->SetState(TargetState::kGone, "connection refused");
-    }
+    this->slots.Finish(now - call.started_at, is_sample);
+    this->FinishBroken(ticket, std::get<http::ExchangeProblem>(outcome));
+    this->DispatchWaiting();
+    return;
   }
   this->slots.Finish(now - call.started_at, is_sample);
   this->Reply(ticket, std::move(reply));
   this->DispatchWaiting();
 }
 
+void Gate::FinishBroken(Ticket ticket, const http::ExchangeProblem& problem) {
+  Call& call = this->calls.at(ticket);
+  const core::Instant now = Now();
+  GateReply reply{.outcome = problem.failure == http::ExchangeFailure::kNotSent
+                                 ? Outcome::kNotRun
+                                 : Outcome::kMayHaveRun,
+                  .reason = problem.detail,
+                  .retry_after = kMinRetryAfter};
+  this->failures.Record(true, now);
+  this->log.Write(Event::kTargetBroke,
+                  {{"request", call.request.request_id},
+                   {"instance", call.request.instance},
+                   {"detail", problem.detail},
+                   {"after_ms", MillisecondsText(now - call.started_at)}});
+  const bool may_be_crash = reply.outcome == Outcome::kMayHaveRun &&
+                            this->state == TargetState::kTakesWork &&
+                            now < call.request.deadline;
+  if (may_be_crash) {
+    this->crash_detector.RecordBreak({.fingerprint = call.request.fingerprint,
+                                      .is_suspect = call.is_suspect},
+                                     now);
+    if (!call.is_abandoned) {
+      this->broken_runs.push_back(
+          {.done = std::move(call.done), .reply = std::move(reply)});
+    }
+    this->EraseCall(ticket);
+    this->CheckForCrash();
+    return;
+  }
+  const bool is_unreachable =
+      problem.is_connection_refused && this->state == TargetState::kTakesWork;
+  this->Reply(ticket, std::move(reply));
+  if (is_unreachable) {
+    this->log.Write(Event::kTargetUnreachable,
+                    {{"instance", this->target.instance}});
+    this->ConfirmCrash();
+    this->SetState(TargetState::kGone, "connection refused");
+  }
+}
+
+bool Gate::has_usable_connection() const {
+  return std::any_of(
+      this->idle_connections.begin(), this->idle_connections.end(),
+      [](const auto& connection) { return connection->is_usable(); });
+}
+
+void Gate::CheckForCrash() {
+  if (this->is_checking_for_crash) {
+    return;
+  }
+  this->is_checking_for_crash = true;
+  this->timers.After(kCrashCheckDelay, [this] {
+    if (this->has_usable_connection() ||
+        this->state != TargetState::kTakesWork) {
+      this->ReleaseBrokenRuns();
+      return;
+    }
+    http::ProbeConnect(
+        this->context, this->timers, this->target_endpoint, kCrashCheckTimeout,
+        [this, start = StartName(this->target)](http::ConnectResult result) {
+          if (result == http::ConnectResult::kRefused &&
+              start == StartName(this->target) &&
+              this->state == TargetState::kTakesWork) {
+            this->ConfirmCrash();
+            this->SetState(TargetState::kGone, "crashed");
+          }
+          this->ReleaseBrokenRuns();
+        });
+  });
+}
+
+void Gate::ConfirmCrash() {
+  std::vector<core::quarantine::RunningRequest> still_running;
+  for (const auto& [ticket, call] : this->calls) {
+    if (call.is_running) {
+      still_running.push_back({.fingerprint = call.request.fingerprint,
+                               .is_suspect = call.is_suspect});
+    }
+  }
+  const auto running = this->crash_detector.TakeCrash(still_running, Now());
+  if (!running.empty()) {
+    this->options.quarantine.OnCrash(StartOf(this->target), running);
+  }
+}
+
+void Gate::ReleaseBrokenRuns() {
+  this->is_checking_for_crash = false;
+  const std::vector<BrokenRun> released =
+      std::exchange(this->broken_runs, std::vector<BrokenRun>());
+  for (const BrokenRun& run : released) {
+    run.done(run.reply);
+  }
+}
+
 void Gate::Reply(Ticket ticket, GateReply reply) {
   const auto found = this->calls.find(ticket);
   const Callback done = std::move(found->second.done);
   const bool is_abandoned = found->second.is_abandoned;
-  this->calls.erase(found);
+  this->EraseCall(ticket);
   if (!is_abandoned) {
     done(std::move(reply));
   }
@@ -435,7 +592,7 @@
   Call& call = found->second;
   if (!call.is_running) {
     this->slots.Remove(ticket);
-    this->calls.erase(found);
+    this->EraseCall(ticket);
     return true;
   }
   if (!call.request.is_idempotent) {
@@ -453,7 +610,7 @@
   this->ReleaseSlot(ticket, call, now);
   constexpr bool kIsSample = false;
   this->slots.Finish(core::Duration::zero(), kIsSample);
-  this->calls.erase(found);
+  this->EraseCall(ticket);
   this->DispatchWaiting();
   return false;
 }
@@ -466,7 +623,8 @@
     }
   }
   for (const Ticket ticket : waiting) {
-    if (this->slots.Remove(ticket)) {
+    if (this->slots.Remove(ticket) ||
+        std::erase(this->waiting_suspects, ticket) > 0) {
       this->Refuse(ticket, reason, kNoRetryDelay);
     }
   }
@@ -547,11 +705,15 @@
   const bool has_new_slot_count = announcement.slots != this->target.slots;
   const std::uint64_t slots_before = this->target.slots;
   const std::string start_before = StartName(this->target);
+  if (!is_same_start && this->state == TargetState::kTakesWork) {
+    this->ConfirmCrash();
+  }
   this->target = announcement;
   if (this->target.slots == 0) {
     this->target.slots = static_cast<std::uint32_t>(slots_before);
   }
   if (!is_same_start) {
+    this->crash_detector.Reset();
     this->slots.ResetMeanWork();
     this->failures.Reset();
     this->earlier_starts.insert(start_before);
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -15,9 +15,11 @@
 #include "lycheewell/sidecar/http/server.h"
 #include "lycheewell/sidecar/links/mesh.h"
 #include "lycheewell/sidecar/manifest/manifest_keeper.h"
+#include "lycheewell/sidecar/records/own_records.h"
 #include "lycheewell/sidecar/requests/account_limiter.h"
 #include "lycheewell/sidecar/requests/frontend.h"
 #include "lycheewell/sidecar/requests/gate.h"
+#include "lycheewell/sidecar/requests/quarantine.h"
 
 namespace lycheewell::sidecar {
 namespace asio = boost::asio;
@@ -51,6 +53,9 @@
 // centre.
 constexpr std::string_view kStoreReaderRole = "manifest";
 
+// Kind of the records of crashed targets in the store.
+constexpr std::string_view kCrashRecords = "crash";
+
 // Minimum time between two requests for a manifest. Several peers can report a
 // newer version at the same moment.
 constexpr core::Duration kManifestRequestInterval =
@@ -102,6 +107,8 @@
               .hooks = this->MeshHooks()}),
         accounts(this->timers, this->mesh,
                  this->options.settings.bounds.account_window),
+        own_records(this->timers, this->store, this->options.settings.name),
+        quarantine(this->timers, this->log, this->QuarantineHooks()),
         gate(this->context, this->timers, this->log,
              {.settings = this->options.settings,
               .dialect = this->options.dialect,
@@ -109,7 +116,8 @@
               .last_starved_call =
                   [this] { return this->front.last_starved_call(); },
               .last_failed_call =
-                  [this] { return this->front.last_failed_call(); }}),
+                  [this] { return this->front.last_failed_call(); },
+              .quarantine = this->quarantine}),
         front(this->timers, this->log,
               {.settings = this->options.settings,
                .dialect = this->options.dialect,
@@ -117,6 +125,7 @@
                .mesh = this->mesh,
                .accounts = this->accounts,
                .gate = this->gate,
+               .quarantine = this->quarantine,
                .counters = this->counters}),
         client_server(
             this->context, this->timers,
@@ -247,18 +256,51 @@
                    this->retired_starts.StartsBeside(receiver)) {
                 hello.add_retired_starts(start);
               }
+              if (!receiver.empty()) {
+                this->quarantine.Describe(*hello.mutable_crash_marks());
+              }
             },
         .on_hello =
             [this](const mesh::Hello& hello) {
               for (const std::string& start : hello.retired_starts()) {
                 this->gate.Retire(start);
               }
+              this->quarantine.Apply(hello.crash_marks());
               if (hello.manifest_version() > this->manifest.version()) {
                 this->RequestManifest(hello.self().name());
               }
+            },
+        .on_record =
+            [this](const records::RecordKey& key, const std::string& value) {
+              this->OnRecord(key, value);
+            }};
+  }
+
+  requests::Quarantine::Options QuarantineHooks() {
+    return {
+        .broadcast =
+            [this](const mesh::Frame& frame) { this->mesh.Broadcast(frame); },
+        .put_record =
+            [this](const std::string& id, const std::string& value) {
+              this->own_records.Put(std::string(kCrashRecords), id, value,
+                                    [] {});
             }};
   }
 
+  // Takes over what daemons knew before a restart.
+  void OnRecord(const records::RecordKey& key, const std::string& value) {
+    this->own_records.Recall(key);
+    if (key.kind == kCrashRecords) {
+      mesh::CrashMarks known;
+      if (known.ParseFromString(value)) {
+        this->quarantine.Apply(known);
+      } else {
+        this->log.Write(Event::kBadPeerMessage,
+                        {{"source", "store"}, {"key", key.id}});
+      }
+    }
+  }
+
   // The daemon that long-polls the store sends a new manifest to its data
   // centre at once. Other daemons learn of the version by ping and request it.
   void BroadcastManifest() {
@@ -359,6 +401,9 @@
         link->Send(answer);
         break;
       }
+      case mesh::Frame::kCrashMarks:
+        this->quarantine.Apply(frame.crash_marks());
+        break;
       case mesh::Frame::kTokenAsk: {
         const auto table = this->manifest.table();
         this->accounts.OnTokenRequest(
@@ -416,7 +461,9 @@
              now + std::chrono::milliseconds(call.queue_limit_ms()),
          .rank = static_cast<int>(call.rank()),
          .is_idempotent = call.is_idempotent(),
-         .was_refused = call.was_refused()},
+         .was_refused = call.was_refused(),
+         .fingerprint = call.fingerprint(),
+         .is_suspect = call.is_suspect()},
         [this, link, call_id](requests::GateReply reply) {
           this->AnswerCall(link, call_id, std::move(reply));
         });
@@ -428,7 +475,11 @@
 
   void AnswerCall(const links::LinkPointer& link, std::uint64_t call_id,
                   requests::GateReply reply) {
-    this->tickets_by_link[link.get()].erase(call_id);
+    const auto tickets = this->tickets_by_link.find(link.get());
+    if (tickets == this->tickets_by_link.end()) {
+      return;  // the link has closed
+    }
+    tickets->second.erase(call_id);
     mesh::Frame frame;
     mesh::Reply& answer = *frame.mutable_reply();
     answer.set_call_id(call_id);
@@ -755,6 +806,8 @@
   manifest::ManifestKeeper manifest;
   links::Mesh mesh;
   requests::AccountLimiter accounts;
+  records::OwnRecords own_records;
+  requests::Quarantine quarantine;
   requests::Gate gate;
   requests::Frontend front;
   http::Server client_server;
--- a/tests/harness/process.cpp
+++ b/tests/harness/process.cpp
@@ -25,6 +25,8 @@
     pointers.push_back(const_cast<char*>(argument.c_str()));
   }
   pointers.push_back(nullptr);
+  // The child would keep the ports of the test's own servers.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   pid_t id = -1;
   const int error = posix_spawn(&id, pointers[0], &actions, nullptr,
                                 pointers.data(), environ);
--- /dev/null
+++ b/tests/harness/sidecar_vm.h
@@ -0,0 +1,123 @@
+// Real sidecar processes on loopback, each with a fake of its target that
+// follows the platform's documentation.
+#ifndef LYCHEEWELL_TESTS_HARNESS_SIDECAR_VM_H_
+#define LYCHEEWELL_TESTS_HARNESS_SIDECAR_VM_H_
+
+#include <atomic>
+#include <boost/asio/awaitable.hpp>
+#include <chrono>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+
+#include "harness/process.h"
+#include "harness/store.h"
+#include "lycheewell/io/http/server.h"
+
+namespace lycheewell::harness {
+
+// Port of the store; the VMs take the ports behind it.
+inline constexpr int kFirstSidecarPort = 21'400;
+
+// Fake of a target. A request's query selects the answer: wait=MS delays it,
+// break closes the connection without an answer, crash ends the target, which
+// comes back as another start after kDownTime.
+class SidecarTarget {
+ public:
+  static constexpr std::chrono::milliseconds kDownTime{700};
+
+  explicit SidecarTarget(int port);
+  ~SidecarTarget();
+
+  // Number of the current start; it also serves as the start's time of birth.
+  int born() const { return this->starts; }
+  bool is_up() const { return this->up; }
+  int crashes() const { return this->starts - 1; }
+
+  std::atomic<int> runs = 0;
+  std::string last_account;
+  bool saw_key = false;
+
+ private:
+  boost::asio::awaitable<std::optional<io::http::Response>> Answer(
+      io::http::Request request);
+  // Ends the server when a request crashes it, and starts it again.
+  void Supervise();
+
+  int port;
+  std::atomic<int> starts = 1;
+  std::atomic<bool> up = true;
+  std::atomic<bool> crash_wanted = false;
+  std::atomic<bool> has_ended = false;
+  std::optional<FakeServer> fake_server;
+  std::thread supervisor;
+};
+
+struct Reply {
+  unsigned status = 0;  // 0: no complete answer
+  std::string signature;
+  std::string retry_after;
+  std::string body;
+};
+
+Reply SendRequest(
+    int port, io::http::Verb verb, const std::string& target,
+    const std::string& key, const std::string& body = "",
+    std::chrono::milliseconds limit = std::chrono::milliseconds(3000));
+
+template <typename Condition>
+bool Eventually(Condition condition,
+                std::chrono::milliseconds limit = std::chrono::seconds(5)) {
+  const auto end = std::chrono::steady_clock::now() + limit;
+  while (!condition()) {
+    if (std::chrono::steady_clock::now() > end) {
+      return false;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  return true;
+}
+
+// A sidecar and its target.
+class SidecarVm {
+ public:
+  // `store_port` is where this VM finds the store.
+  explicit SidecarVm(int number, int store_port = kFirstSidecarPort);
+  ~SidecarVm();
+
+  SidecarVm(const SidecarVm&) = delete;
+  SidecarVm& operator=(const SidecarVm&) = delete;
+
+  // Commands.
+
+  void Start();
+  // The current start of the target announces itself; returns the status.
+  unsigned Announce(const std::string& state);
+  unsigned Deregister();
+  Reply Call(const std::string& target, const std::string& key = "k1",
+             io::http::Verb verb = io::http::Verb::post);
+
+  // Queries.
+
+  bool IsReady();
+  std::string Log();
+
+  int base_port;
+  std::string name;
+  std::optional<SidecarTarget> target;
+  std::optional<Process> process;
+  int sequence = 0;
+
+ private:
+  int store_port;
+  std::string folder;
+};
+
+// A manifest with the accounts' keys as JSON strings, separated by commas. The
+// unsafe routes /pay/ and /long/ and the safe route /look/ lead to the targets.
+std::string SidecarManifest(int version, const std::string& keys);
+
+}  // namespace lycheewell::harness
+
+#endif  // LYCHEEWELL_TESTS_HARNESS_SIDECAR_VM_H_
--- a/tests/harness/store.cpp
+++ b/tests/harness/store.cpp
@@ -44,9 +44,18 @@
 
 Store::Store(int port)
     : fake_server(port, [this](Request request, const CancellationPointer&) {
-        return this->Answer(std::move(request));
+        return this->Answer(std::move(request), this->fault);
       }) {}
 
+std::atomic<StoreFault>& Store::OpenDoor(int port) {
+  Door& door = this->doors.emplace_back();
+  door.server.emplace(
+      port, [this, &door](Request request, const CancellationPointer&) {
+        return this->Answer(std::move(request), door.fault);
+      });
+  return door.fault;
+}
+
 void Store::PutManifest(const std::string& document) {
   this->Append("keyed.op", "config", document);
 }
@@ -64,17 +73,22 @@
   const std::lock_guard lock(this->mutex);
   std::string record(1, static_cast<char>(key.size()));
   record += key + value;
-  this->topics[topic].newest[key] = value;
+  if (value.empty()) {
+    this->topics[topic].newest.erase(key);
+  } else {
+    this->topics[topic].newest[key] = value;
+  }
   this->topics[topic].records.push_back(BigEndian(record.size(), 4) + record);
 }
 
-asio::awaitable<std::optional<Response>> Store::Answer(Request request) {
-  const StoreFault current = this->fault;
+asio::awaitable<std::optional<Response>> Store::Answer(
+    Request request, const std::atomic<StoreFault>& current_fault) {
+  const StoreFault current = current_fault;
   if (this->is_down || current == StoreFault::kDown) {
     co_return io::http::MakeResponse(Status::service_unavailable, "text/plain",
                                      "");
   }
-  while (this->fault == StoreFault::kSilent) {
+  while (current_fault == StoreFault::kSilent) {
     co_await WaitFor(kFaultCheckPeriod);
   }
   if (current == StoreFault::kSlow) {
@@ -91,9 +105,20 @@
   const auto target = io::http::SplitTarget(io::http::View(request.target()));
   const std::string topic = io::http::QueryValue(target.query, "topic");
   if (target.path == "/v1/log-append") {
+    // Records with a length of four bytes: a key with a length of one byte and
+    // the value.
     const std::string& body = request.body();
-    const auto key_size = static_cast<unsigned char>(body.at(4));
-    this->Append(topic, body.substr(5, key_size), body.substr(5 + key_size));
+    for (std::size_t begin = 0; begin + 4 < body.size();) {
+      std::size_t size = 0;
+      for (std::size_t i = 0; i < 4; ++i) {
+        size = size << 8U | static_cast<unsigned char>(body.at(begin + i));
+      }
+      const std::string record = body.substr(begin + 4, size);
+      const auto key_size = static_cast<unsigned char>(record.at(0));
+      this->Append(topic, record.substr(1, key_size),
+                   record.substr(1 + key_size));
+      begin += 4 + size;
+    }
     co_return io::http::MakeJson(Status::ok, "{}");
   }
   if (target.path == "/v1/log-newest") {
--- a/tests/harness/store.h
+++ b/tests/harness/store.h
@@ -6,6 +6,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -47,6 +48,11 @@
 
   void PutManifest(const std::string& document);
 
+  // Serves at another address, too, with faults of its own: the daemons that
+  // use it are turned away while the store serves the others. The reference
+  // holds as long as the store.
+  std::atomic<StoreFault>& OpenDoor(int port);
+
   std::atomic<bool> is_down = false;
   std::atomic<StoreFault> fault = StoreFault::kNone;
 
@@ -61,8 +67,13 @@
   static std::string BigEndian(std::uint64_t value, std::size_t size);
   void Append(const std::string& topic, const std::string& key,
               const std::string& value);
+  struct Door {
+    std::atomic<StoreFault> fault = StoreFault::kNone;
+    std::optional<FakeServer> server;
+  };
+
   boost::asio::awaitable<std::optional<io::http::Response>> Answer(
-      io::http::Request request);
+      io::http::Request request, const std::atomic<StoreFault>& fault);
   boost::asio::awaitable<std::optional<io::http::Response>> Execute(
       io::http::Request request);
   std::uint64_t EndOf(const std::string& topic);
@@ -72,6 +83,7 @@
   std::mutex mutex;
   std::map<std::string, Topic> topics;
   FakeServer fake_server;
+  std::deque<Door> doors;
 };
 
 }  // namespace lycheewell::harness
--- a/tests/sidecar/whole_path_test.cpp
+++ b/tests/sidecar/whole_path_test.cpp
@@ -1,224 +1,35 @@
 // End-to-end tests: real sidecar processes on loopback, with fakes of the
 // platform's store and of targets that follow the platform's documentation.
 #include <signal.h>
-#include <unistd.h>
 
-#include <atomic>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
-#include <filesystem>
-#include <fstream>
 #include <future>
-#include <map>
-#include <mutex>
 #include <thread>
 
-#include "harness/process.h"
-#include "harness/store.h"
-#include "lycheewell/io/http/server.h"
+#include "harness/sidecar_vm.h"
 
 namespace {
 using namespace lycheewell;
 namespace asio = boost::asio;
-namespace beast = boost::beast;
-using harness::FakeServer;
-using harness::LoopbackAddress;
+using harness::Eventually;
+using harness::kFirstSidecarPort;
+using harness::Reply;
+using harness::SendRequest;
+using harness::SidecarManifest;
 using harness::Store;
-using io::http::Request;
-using io::http::Response;
-using io::http::Status;
+using Vm = harness::SidecarVm;
 using io::http::Verb;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
-
-constexpr int kFirstPort = 21'400;
-
-// Fake of a target. A request's query selects the answer: wait=MS delays it,
-// break closes the connection without an answer.
-class Target {
- public:
-  explicit Target(int port)
-      : fake_server(port, [this](Request request,
-                                 const io::async::CancellationPointer&) {
-          return this->Answer(std::move(request));
-        }) {}
-
-  std::atomic<int> runs = 0;
-  std::string last_account;
-  bool saw_key = false;
-
- private:
-  asio::awaitable<std::optional<Response>> Answer(Request request) {
-    const auto target = io::http::SplitTarget(io::http::View(request.target()));
-    ++this->runs;
-    this->last_account = std::string(io::http::View(request["Tenant-Id"]));
-    this->saw_key =
-        this->saw_key || request.find("Authorization") != request.end();
-    const std::string wait = io::http::QueryValue(target.query, "wait");
-    if (!wait.empty()) {
-      asio::steady_timer timer(co_await asio::this_coro::executor,
-                               milliseconds(std::stoi(wait)));
-      co_await timer.async_wait(asio::use_awaitable);
-    }
-    if (target.query == "break") {
-      co_return std::nullopt;
-    }
-    Response response =
-        io::http::MakeResponse(Status::ok, "text/plain", "done");
-    response.set("Request-Id", request["Request-Id"]);
-    response.set("Response-Signature", "signed");
-    co_return response;
-  }
-
-  FakeServer fake_server;
-};
-
-struct Reply {
-  unsigned status = 0;  // 0: no complete answer
-  std::string signature;
-  std::string retry_after;
-  std::string body;
-};
-
-Reply SendRequest(int port, Verb verb, const std::string& target,
-                  const std::string& key, const std::string& body = "",
-                  milliseconds limit = milliseconds(3000)) {
-  static std::atomic<int> last_id = 0;
-  asio::io_context context;
-  beast::tcp_stream stream(context);
-  Request request(verb, target, 11);
-  request.set("Host", "a.example");
-  request.set("Request-Id", "r" + std::to_string(++last_id));
-  request.set("Deadline-Ms", std::to_string(limit.count()));
-  if (!key.empty()) {
-    request.set("Authorization", "Bearer " + key);
-  }
-  request.body() = body;
-  request.prepare_payload();
-  boost::system::error_code error;
-  stream.connect(
-      {asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(port)},
-      error);
-  if (error) {
-    return {};
-  }
-  beast::http::write(stream, request, error);
-  beast::flat_buffer buffer;
-  Response response;
-  beast::http::read(stream, buffer, response, error);
-  if (error) {
-    return {};
-  }
-  return {
-      .status = response.result_int(),
-      .signature = std::string(io::http::View(response["Response-Signature"])),
-      .retry_after = std::string(io::http::View(response["Retry-After"])),
-      .body = response.body()};
-}
-
-template <typename Condition>
-bool Eventually(Condition condition, milliseconds limit = seconds(5)) {
-  const auto end = std::chrono::steady_clock::now() + limit;
-  while (!condition()) {
-    if (std::chrono::steady_clock::now() > end) {
-      return false;
-    }
-    std::this_thread::sleep_for(milliseconds(20));
-  }
-  return true;
-}
-
-// A sidecar and its target.
-class Vm {
- public:
-  explicit Vm(int number)
-      : base_port(kFirstPort + 20 + 20 * number),
-        name("vm-" + std::to_string(number)) {
-    this->target.emplace(this->base_port + 3);
-    this->Start();
-  }
-  ~Vm() { std::filesystem::remove_all(this->folder); }
-
-  void Start() {
-    std::filesystem::create_directories(this->folder);
-    const std::string path = this->folder + "/settings.json";
-    std::ofstream(path)
-        << R"({"sidecar":{"name":")" << this->name
-        << R"(","data_centre":"z","address":"127.0.0.1","clients_address":")"
-        << LoopbackAddress(this->base_port) << R"(","announcements_address":")"
-        << LoopbackAddress(this->base_port + 1) << R"(","readiness_address":")"
-        << LoopbackAddress(this->base_port + 2) << R"(","target":{"address":")"
-        << LoopbackAddress(this->base_port + 3)
-        << R"(","service":"s"},"links_port":)" << this->base_port + 4
-        << R"(,"metrics_port":)" << this->base_port + 5
-        << R"(,"store":{"address":")" << LoopbackAddress(kFirstPort)
-        << R"("},"bounds":{}}})";
-    this->process.emplace(
-        std::vector<std::string>{
-            std::string(LYCHEEWELL_BIN_DIR) + "/lycheewelld", "--settings",
-            path},
-        this->folder + "/log");
-  }
-
-  unsigned Announce(const std::string& state) {
-    ++this->sequence;
-    return SendRequest(
-               this->base_port + 1, Verb::post,
-               "/v1/instances/i-" + this->name + "/heartbeat", "",
-               R"({"born":1,"info":{"service":"s","slots":4},"status":{"state":")" +
-                   state + R"(","seq":)" + std::to_string(this->sequence) +
-                   R"(,"cold_time":"0ms"}})")
-        .status;
-  }
-
-  bool IsReady() {
-    return SendRequest(this->base_port + 2, Verb::get, "/v1/readiness", "")
-               .status == 200;
-  }
-
-  Reply Call(const std::string& target, const std::string& key = "k1",
-             Verb verb = Verb::post) {
-    return SendRequest(this->base_port, verb, target, key);
-  }
-
-  std::string Log() {
-    std::ifstream file(this->folder + "/log");
-    return {std::istreambuf_iterator<char>(file), {}};
-  }
-
-  int base_port;
-  std::string name;
-  std::optional<Target> target;
-  std::optional<harness::Process> process;
-  int sequence = 0;
-  std::string folder = (std::filesystem::temp_directory_path() /
-                        ("lycheewell-sidecar-" + std::to_string(getpid()) +
-                         "-" + std::to_string(this->base_port)))
-                           .string();
-};
-
-std::string ManifestText(int version, const std::string& keys) {
-  return R"({"version":"r)" + std::to_string(version) +
-         R"(","routes":{"columns":["name","host","pathPrefix","kind","timeout","targetLatency",)"
-         R"("priority","attempts","public","service"],"rows":[)"
-         R"(["pay","a.example","/pay/","unsafe","2000ms","1500ms",0,2,false,"s"],)"
-         R"(["long","a.example","/long/","unsafe","7000ms","6000ms",0,2,false,"s"],)"
-         R"(["look","a.example","/look/","safe","2000ms","1500ms",2,2,false,"s"]]},)"
-         R"("services":{"columns":["name","healthPath","maxConnections"],"rows":[["s","/h",99]]},)"
-         R"("tenants":{"columns":["name","apiKeys"],"rows":[["club",[)" +
-         keys + "]]]}}";
-}
-
 }  // namespace
 
 TEST_CASE("A fleet of sidecars serves a platform's clients", "[sidecar]") {
   signal(SIGPIPE, SIG_IGN);
-  Store store(kFirstPort);
-  store.PutManifest(ManifestText(1, R"("k1","k2")"));
+  Store store(kFirstSidecarPort);
+  store.PutManifest(SidecarManifest(1, R"("k1","k2")"));
   Vm first(0);
   Vm second(1);
   REQUIRE(Eventually([&] { return first.IsReady() && second.IsReady(); }));
@@ -243,7 +54,7 @@
     CHECK(second.target->runs == runs);
   }
   SECTION("requests with a withdrawn key are refused") {
-    store.PutManifest(ManifestText(3, R"("k1")"));
+    store.PutManifest(SidecarManifest(3, R"("k1")"));
     CHECK(Eventually([&] { return first.Call("/pay/1", "k2").status == 401; },
                      seconds(2)));
     CHECK(first.Call("/pay/1", "k1").status == 200);
