Departures of targets outlive the daemon that acknowledged them

Cause: a departure lived in the memory of the process that acknowledged it. Peers were told of draining targets only, and after a restart of all daemons nobody knew. The deregistration of a start that the daemon had not heard of yet was acknowledged and dropped.

Change: a departure is acknowledged once the store has it (503 after 0.9 s otherwise), and read with the list of members at the start. Peers remember deregistered targets like draining ones. The daemon remembers every start that says it leaves; the deregistration of an earlier start under the same name does not retire the current one.

Why it works: whatever was acknowledged is in the store, and a daemon that starts has it from there or, if it does not reach the store, from the first message of each peer, before or soon after a late report arrives.

--- a/packages/sidecar/include/lycheewell/sidecar/requests/gate.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/gate.h
@@ -127,9 +127,6 @@
 
   mesh::Target DescribeTarget() const;
   mesh::Load DescribeLoad() const;
-  // Starts of targets that are leaving or have left, as "instance@born". A
-  // start is one run of an instance's process.
-  const std::set<std::string>& retired_starts() const { return this->retired; }
   std::size_t running() const { return this->running_calls; }
   bool accepts_work() const;
   // Use of the target by the client requests of one route and the calls that
@@ -231,6 +228,8 @@
   TargetState state = TargetState::kGone;
   core::Instant announced_at;
   core::Instant cold_until;
+  // Starts that are leaving or have left, as "instance@born". A start is one
+  // run of an instance's process.
   std::set<std::string> retired;
   std::set<std::string> earlier_starts;
   bool draining = false;
--- a/packages/sidecar/src/requests/gate.cpp
+++ b/packages/sidecar/src/requests/gate.cpp
@@ -668,8 +668,11 @@
                              (announcement.born_ms == 0 ||
                               announcement.born_ms == this->target.born_ms);
   if (announcement.state == TargetState::kGone) {
-    if (announcement.instance == this->target.instance) {
-      this->retired.insert(StartName(this->target));
+    // Also a start that this daemon has not heard of yet: a report that it sent
+    // before may still arrive.
+    this->retired.insert(
+        StartName(is_same_start ? this->target : announcement));
+    if (is_same_start) {
       this->SetState(TargetState::kGone,
                      "the target announced that it is gone");
     }
@@ -773,12 +776,13 @@
   description.set_service(this->options.settings.target_service);
   description.set_slots(this->target.slots);
   // Only the target's own departure is final; its daemon may be restarted.
-  if (this->state == TargetState::kTakesWork) {
+  if (this->retired.contains(StartName(this->target))) {
+    description.set_state(mesh::LEAVING);
+  } else if (this->state == TargetState::kTakesWork) {
     description.set_state(this->draining ? mesh::DAEMON_STOPS
                                          : mesh::TAKES_WORK);
   } else {
-    description.set_state(this->state == TargetState::kGone ? mesh::GONE
-                                                            : mesh::LEAVING);
+    description.set_state(mesh::GONE);
   }
   const auto cold = this->cold_until - Now();
   description.set_cold_ms(
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -15,6 +15,7 @@
 #include "lycheewell/sidecar/http/server.h"
 #include "lycheewell/sidecar/links/mesh.h"
 #include "lycheewell/sidecar/manifest/manifest_keeper.h"
+#include "lycheewell/sidecar/records/departures.h"
 #include "lycheewell/sidecar/records/own_records.h"
 #include "lycheewell/sidecar/requests/account_limiter.h"
 #include "lycheewell/sidecar/requests/frontend.h"
@@ -48,8 +49,15 @@
 // store.
 constexpr std::string_view kStoreReaderRole = "manifest";
 
-// Kind of the records of crashed targets in the store.
+// Kinds of records in the store: crashed targets, and starts of targets that
+// have said that they leave.
 constexpr std::string_view kCrashRecords = "crash";
+constexpr std::string_view kDepartureRecords = "departure";
+
+// A departure that is not stored by then is not acknowledged. The target waits
+// for a second.
+constexpr core::Duration kAcknowledgementTimeout =
+    std::chrono::milliseconds(900);
 
 // Minimum time between two requests for a manifest. Several peers can report a
 // newer version at the same moment.
@@ -104,6 +112,11 @@
         accounts(this->timers, this->mesh,
                  this->options.settings.bounds.account_window),
         own_records(this->timers, this->store, this->options.settings.name),
+        departures([this](const std::string& start,
+                          const std::function<void()>& done) {
+          this->own_records.Put(std::string(kDepartureRecords), start, start,
+                                done);
+        }),
         quarantine(this->timers, this->log, this->QuarantineHooks()),
         gate(this->context, this->timers, this->log,
              {.settings = this->options.settings,
@@ -291,7 +304,13 @@
   // Takes over what daemons knew before a restart.
   void OnRecord(const records::RecordKey& key, const std::string& value) {
     this->own_records.Recall(key);
-    if (key.kind == kCrashRecords) {
+    if (key.kind == kDepartureRecords) {
+      if (key.daemon == this->options.settings.name) {
+        this->gate.Retire(key.id);
+      } else {
+        this->retired_starts.Record(key.daemon, key.id);
+      }
+    } else if (key.kind == kCrashRecords) {
       mesh::CrashMarks known;
       if (known.ParseFromString(value)) {
         this->quarantine.Apply(known);
@@ -673,12 +692,37 @@
       exchange->Send({.status = 400});
       return;
     }
-    this->gate.OnAnnouncement(std::get<Announcement>(decoded));
+    const auto& announcement = std::get<Announcement>(decoded);
+    this->gate.OnAnnouncement(announcement);
+    const bool is_departure =
+        announcement.state == TargetState::kGone ||
+        (announcement.state == TargetState::kLeaving &&
+         announcement.service == this->options.settings.target_service);
+    if (!is_departure) {
+      Acknowledge(exchange);
+    } else {
+      this->AcknowledgeDeparture(announcement, exchange);
+    }
+  }
+
+  static void Acknowledge(const http::ExchangePointer& exchange) {
     exchange->Send({.status = 200,
                     .header_lines = "Content-Type: application/json\r\n",
                     .body = "{}"});
   }
 
+  // An acknowledged departure binds every later process of this daemon, so it
+  // is stored first.
+  void AcknowledgeDeparture(const Announcement& announcement,
+                            const http::ExchangePointer& exchange) {
+    const std::string start = requests::StartName(
+        {.id = announcement.instance, .incarnation = announcement.born_ms});
+    // The first answer counts.
+    this->timers.After(kAcknowledgementTimeout,
+                       [exchange] { exchange->Send({.status = 503}); });
+    this->departures.Store(start, [exchange] { Acknowledge(exchange); });
+  }
+
   bool is_ready() const {
     return !this->stopping && this->manifest.table() &&
            (this->mesh.has_listed_members() || this->mesh.daemon_count() > 1);
@@ -826,6 +870,7 @@
   links::Mesh mesh;
   requests::AccountLimiter accounts;
   records::OwnRecords own_records;
+  records::Departures departures;
   requests::Quarantine quarantine;
   requests::Gate gate;
   requests::Frontend front;
@@ -838,8 +883,8 @@
   std::map<const links::Link*,
            std::unordered_map<std::uint64_t, requests::Gate::Ticket>>
       tickets_by_link;
-  // Keeps a leaving target from getting work again after its daemon restarts:
-  // this daemon tells the restarted one in its Hello.
+  // Keeps a target that has left from getting work again after its daemon
+  // restarts: this daemon tells the restarted one in its Hello.
   core::membership::RetiredStarts retired_starts;
   core::Instant manifest_requested_at;
   std::map<std::string, LocalDemand> local_demand;  // by route
--- a/tests/harness/sidecar_vm.cpp
+++ b/tests/harness/sidecar_vm.cpp
@@ -31,6 +31,14 @@
   this->supervisor.join();
 }
 
+void SidecarTarget::Restart() {
+  const int next = this->starts + 1;
+  this->crash_wanted = true;
+  while (this->starts < next || !this->up) {
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+}
+
 void SidecarTarget::Supervise() {
   const auto start = [this] {
     this->fake_server.emplace(
--- a/tests/harness/sidecar_vm.h
+++ b/tests/harness/sidecar_vm.h
@@ -30,6 +30,9 @@
   explicit SidecarTarget(int port);
   ~SidecarTarget();
 
+  // Ends the target and waits for its next start.
+  void Restart();
+
   // Number of the current start; it also serves as the start's time of birth.
   int born() const { return this->starts; }
   bool is_up() const { return this->up; }
--- /dev/null
+++ b/tests/sidecar/departure_test.cpp
@@ -0,0 +1,139 @@
+// A target leaves, its daemon forgets, and a report from before arrives late.
+#include <signal.h>
+
+#include <catch2/catch.hpp>
+#include <thread>
+
+#include "harness/sidecar_vm.h"
+#include "lycheewell/sidecar/records/departures.h"
+
+namespace {
+using namespace lycheewell;
+using harness::Eventually;
+using harness::kFirstSidecarPort;
+using harness::SidecarManifest;
+using harness::Store;
+using harness::StoreFault;
+using Vm = harness::SidecarVm;
+using io::http::Verb;
+using sidecar::records::Departures;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A daemon that restarts and hears of the departure from whoever remembers.
+void Restart(Vm& vm) {
+  vm.process->Kill();
+  vm.Start();
+  REQUIRE(Eventually([&] { return vm.IsReady(); }, seconds(10)));
+}
+
+}  // namespace
+
+// Guards against a target that had deregistered and got work again, as its
+// restarted daemon believed a report that the target had sent before.
+TEST_CASE("A target that has left gets no work after its sidecar restarts",
+          "[sidecar][departure]") {
+  signal(SIGPIPE, SIG_IGN);
+  Store store(kFirstSidecarPort);
+  std::atomic<StoreFault>& fault = store.OpenDoor(kFirstSidecarPort + 1);
+  store.PutManifest(SidecarManifest(1, R"("k1")"));
+  Vm first(0);
+  Vm second(1, kFirstSidecarPort + 1);
+  REQUIRE(Eventually([&] { return first.IsReady() && second.IsReady(); }));
+  first.Announce("ready");
+  second.Announce("ready");
+  REQUIRE(Eventually([&] { return second.Call("/pay/1").status == 200; }));
+
+  const auto check_idle = [&] {
+    std::this_thread::sleep_for(milliseconds(300));
+    second.Announce("ready");  // sent before it left
+    const int runs = second.target->runs;
+    for (int i = 0; i < 20; ++i) {
+      first.Call("/pay/1");
+      second.Call("/pay/1");
+    }
+    CHECK(second.target->runs == runs);
+  };
+
+  SECTION("having deregistered") {
+    REQUIRE(second.Deregister() == 200);
+
+    SECTION("and only its own sidecar restarts") {
+      Restart(second);
+      check_idle();
+    }
+    SECTION("and all sidecars restart at once") {
+      first.process->Kill();
+      Restart(second);
+      Restart(first);
+      check_idle();
+    }
+    SECTION("and its own one does not reach the store from then on") {
+      fault = StoreFault::kDown;
+      second.process->Kill();
+      second.Start();
+      REQUIRE(Eventually([&] {
+        return second.Log().rfind("link-opened") > second.Log().rfind("LW1001");
+      }));
+      check_idle();
+    }
+    SECTION("and another start of it under the same name gets work") {
+      Restart(second);
+      second.target->Restart();
+      second.Announce("ready");
+      const int runs = second.target->runs;
+      CHECK(Eventually([&] {
+        second.Call("/pay/1");
+        return second.target->runs > runs;
+      }));
+    }
+  }
+  SECTION("having reported that it is draining") {
+    REQUIRE(second.Announce("draining") == 200);
+    first.process->Kill();
+    Restart(second);
+    Restart(first);
+    check_idle();
+  }
+  SECTION("having deregistered at a sidecar that did not know it yet") {
+    Restart(second);
+    REQUIRE(second.Deregister() == 200);
+    check_idle();
+    first.process->Kill();
+    Restart(second);
+    Restart(first);
+    check_idle();
+  }
+  SECTION("and its departure is not acknowledged before it is stored") {
+    fault = StoreFault::kDown;
+    CHECK(second.Deregister() == 503);
+    const int runs = second.target->runs;
+    first.Call("/pay/1");
+    CHECK(second.target->runs == runs);
+    fault = StoreFault::kNone;
+    CHECK(Eventually([&] { return second.Deregister() == 200; }));
+  }
+}
+
+TEST_CASE("A departure is stored once", "[sidecar][departure]") {
+  int writes = 0;
+  int acknowledged = 0;
+  std::function<void()> stored;
+  Departures departures(
+      [&](const std::string&, const std::function<void()>& done) {
+        ++writes;
+        stored = done;
+      });
+  departures.Store("i@1", [&] { ++acknowledged; });
+  departures.Store("i@1", [&] { ++acknowledged; });
+  CHECK(writes == 1);
+  CHECK(acknowledged == 0);
+
+  SECTION("and acknowledged as often as it is reported") {
+    stored();
+    CHECK(acknowledged == 2);
+    departures.Store("i@1", [&] { ++acknowledged; });
+    CHECK(acknowledged == 3);
+    CHECK(writes == 1);
+  }
+}
