--- a/packages/core/include/lycheewell/core/quarantine/crash_marks.h
+++ b/packages/core/include/lycheewell/core/quarantine/crash_marks.h
@@ -29,7 +29,7 @@
 inline constexpr std::size_t kMaxMarksPerRequest = 8;
 
 // Identifies requests with the same account, method, host, path, query and body
-// as 16 hexadecimal digits. Equal in every process and build.
+// as 15 hexadecimal digits. Equal in every process and build.
 std::string FingerprintOf(std::string_view account, std::string_view method,
                           std::string_view host,
                           std::string_view path_and_query,
--- a/packages/core/src/quarantine/crash_marks.cpp
+++ b/packages/core/src/quarantine/crash_marks.cpp
@@ -1,13 +1,18 @@
 #include "lycheewell/core/quarantine/crash_marks.h"
 
 #include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdint>
 
 #include "lycheewell/core/digest.h"
 
 namespace lycheewell::core::quarantine {
 namespace {
 
-constexpr std::size_t kFingerprintDigits = 16;
+// Strings of this length need no memory of their own.
+constexpr std::size_t kFingerprintDigits = 15;
+constexpr int kDigitBase = 16;
 
 // After a quarantine of some length its request stays a suspect until this many
 // times that length have passed.
@@ -19,14 +24,18 @@
                           std::string_view host,
                           std::string_view path_and_query,
                           std::string_view body) {
-  std::string input;
+  std::uint64_t hash = 0;
   for (const std::string_view part :
        {account, method, host, path_and_query, body}) {
-    input += std::to_string(part.size());
-    input += ':';
-    input += part;
-  }
-  return Sha256Hex(input).substr(0, kFingerprintDigits);
+    hash = StableHash(part, hash + part.size());
+  }
+  std::array<char, 2 * sizeof hash> digits{};
+  char* const begin = digits.data();
+  const char* const end =
+      std::to_chars(begin, begin + digits.size(), hash, kDigitBase).ptr;
+  std::string text(begin, static_cast<std::size_t>(end - begin));
+  text.resize(kFingerprintDigits, '0');
+  return text;
 }
 
 void CrashMarks::Add(const CrashMark& mark, Instant now) {
