Gate: the start of a target that goes on reporting is the current one

Cause: a start that was overdue could be replaced by one that looks older, and was then barred for good.

Change: core/membership/target_starts keeps what each start said last. One that was replaced and reports further takes its place again; departures of other starts retire them; after a departure an older-looking start of the same name needs three reports. What is not taken into account is not acknowledged.

--- a/packages/sidecar/include/lycheewell/sidecar/requests/gate.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/gate.h
@@ -11,11 +11,11 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include "lycheewell/core/membership/target_starts.h"
 #include "lycheewell/core/overload/call_tracker.h"
 #include "lycheewell/core/overload/slot_gate.h"
 #include "lycheewell/core/quarantine/crash_detector.h"
@@ -109,7 +109,9 @@
   // the request has not run and never will.
   bool Cancel(Ticket ticket);
 
-  void OnAnnouncement(const Announcement& announcement);
+  // Returns whether the announcement was taken into account. It must not be
+  // acknowledged otherwise.
+  bool OnAnnouncement(const Announcement& announcement);
 
   // Returns the origin of a call of `route` that the target makes now, or
   // nothing if it is not known.
@@ -117,8 +119,8 @@
                                       core::Instant call_deadline,
                                       core::RandomSource& random);
 
-  // Records that a peer saw `start` leave; see retired_starts().
-  void Retire(const std::string& start);
+  // Records that `start` has left, as peers or the store remember.
+  void Retire(const core::DaemonRef& start);
 
   // Refuses new work because this daemon stops.
   void BeginDrain();
@@ -228,10 +230,7 @@
   TargetState state = TargetState::kGone;
   core::Instant announced_at;
   core::Instant cold_until;
-  // Starts that are leaving or have left, as "instance@born". A start is one
-  // run of an instance's process.
-  std::set<std::string> retired;
-  std::set<std::string> earlier_starts;
+  core::membership::TargetStarts starts;
   bool draining = false;
 };
 
--- a/packages/sidecar/include/lycheewell/sidecar/requests/quarantine.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/quarantine.h
@@ -7,7 +7,9 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "lycheewell/core/quarantine/crash_marks.h"
@@ -69,6 +71,8 @@
 
 // Name of one start of a target, "instance@born".
 std::string StartName(const core::DaemonRef& start);
+// Empty if `name` is not such a name.
+std::optional<core::DaemonRef> ParseStartName(std::string_view name);
 
 }  // namespace lycheewell::sidecar::requests
 
--- a/packages/sidecar/src/requests/gate.cpp
+++ b/packages/sidecar/src/requests/gate.cpp
@@ -33,6 +33,10 @@
 constexpr int kMaxMissedAnnouncements = 3;
 constexpr core::Duration kAnnouncementMargin = std::chrono::seconds(1);
 
+// A target that has announced nothing for this many periods may have been
+// replaced by one whose clock makes it look older.
+constexpr double kOverduePeriods = 1.5;
+
 // A full target frees slots within this time.
 constexpr core::Duration kMinRetryAfter = std::chrono::milliseconds(50);
 
@@ -86,10 +90,6 @@
   return {.id = target.instance, .incarnation = target.born_ms};
 }
 
-std::string StartName(const Announcement& target) {
-  return requests::StartName(StartOf(target));
-}
-
 bool NeedsContentLength(const GateCall& call) {
   return !call.body.empty() || call.method == "POST" || call.method == "PUT" ||
          call.method == "PATCH";
@@ -106,7 +106,10 @@
       target_endpoint(
           io::http::ParseEndpoint(this->options.settings.target_address)),
       request_bodies(std::make_shared<http::ByteBudget>(kRequestBodyBytes)),
-      answer_bodies(std::make_shared<http::ByteBudget>(kAnswerBodyBytes)) {
+      answer_bodies(std::make_shared<http::ByteBudget>(kAnswerBodyBytes)),
+      starts(
+          {.overdue_after = std::chrono::duration_cast<core::Duration>(
+               this->options.settings.announcement_period * kOverduePeriods)}) {
   this->CheckAnnouncements();
 }
 
@@ -489,9 +492,9 @@
     }
     http::ProbeConnect(
         this->context, this->timers, this->target_endpoint, kCrashCheckTimeout,
-        [this, start = StartName(this->target)](http::ConnectResult result) {
+        [this, start = this->starts.current()](http::ConnectResult result) {
           if (result == http::ConnectResult::kRefused &&
-              start == StartName(this->target) &&
+              start == this->starts.current() &&
               this->state == TargetState::kTakesWork) {
             this->ConfirmCrash();
             this->SetState(TargetState::kGone, "crashed");
@@ -511,7 +514,7 @@
   }
   const auto running = this->crash_detector.TakeCrash(still_running, Now());
   if (!running.empty()) {
-    this->options.quarantine.OnCrash(StartOf(this->target), running);
+    this->options.quarantine.OnCrash(this->starts.current(), running);
   }
 }
 
@@ -652,90 +655,90 @@
   }
 }
 
-void Gate::Retire(const std::string& start) {
-  if (start.empty()) {
-    return;
-  }
-  this->retired.insert(start);
-  if (start == StartName(this->target) &&
+void Gate::Retire(const core::DaemonRef& start) {
+  this->starts.Retire(start);
+  if (this->starts.current() == start &&
       this->state == TargetState::kTakesWork) {
     this->SetState(TargetState::kLeaving, "a peer reported it as leaving");
   }
 }
 
-void Gate::OnAnnouncement(const Announcement& announcement) {
-  const bool is_same_start = announcement.instance == this->target.instance &&
-                             (announcement.born_ms == 0 ||
-                              announcement.born_ms == this->target.born_ms);
+bool Gate::OnAnnouncement(const Announcement& announcement) {
+  const core::DaemonRef start = StartOf(announcement);
+  const core::Instant now = Now();
   if (announcement.state == TargetState::kGone) {
     // Also a start that this daemon has not heard of yet: a report that it sent
     // before may still arrive.
-    this->retired.insert(
-        StartName(is_same_start ? this->target : announcement));
-    if (is_same_start) {
+    const bool is_current = this->starts.IsCurrent(start);
+    this->starts.Retire(is_current ? this->starts.current() : start);
+    if (is_current) {
       this->SetState(TargetState::kGone,
                      "the target announced that it is gone");
     }
-    return;
+    return true;
   }
   if (announcement.service != this->options.settings.target_service) {
     this->log.Write(Event::kAnnouncementRejected,
                     {{"instance", announcement.instance},
                      {"reason", "it belongs to another service"}});
-    return;
+    return true;
   }
-  const std::string start = StartName(announcement);
-  const core::Instant now = Now();
-  // The known start has missed an announcement. Another one may have replaced
-  // it, even if its clock makes it look older.
-  const bool is_current_overdue =
-      now - this->announced_at >
-      this->options.settings.announcement_period * 3 / 2;
-  const bool is_stale =
-      is_same_start ? announcement.sequence <= this->target.sequence &&
-                          (announcement.born_ms != 0 || !is_current_overdue)
-                    : this->earlier_starts.contains(start) ||
-                          (announcement.born_ms < this->target.born_ms &&
-                           !is_current_overdue);
-  if (is_stale) {
-    this->log.Write(Event::kAnnouncementRejected,
-                    {{"instance", announcement.instance},
-                     {"sequence", std::to_string(announcement.sequence)},
-                     {"known", StartName(this->target)},
-                     {"reason", "older than the latest announcement"}});
-    return;
+  const bool is_leaving = announcement.state == TargetState::kLeaving;
+  using core::membership::ReportVerdict;
+  const ReportVerdict verdict =
+      this->starts.Report({.start = start,
+                           .sequence = announcement.sequence,
+                           .is_leaving = is_leaving},
+                          now);
+  if (verdict == ReportVerdict::kKnown || verdict == ReportVerdict::kOther) {
+    this->log.Write(
+        Event::kAnnouncementRejected,
+        {{"instance", announcement.instance},
+         {"born_ms", std::to_string(announcement.born_ms)},
+         {"sequence", std::to_string(announcement.sequence)},
+         {"known", requests::StartName(this->starts.current())},
+         {"reason", verdict == ReportVerdict::kKnown
+                        ? "older than the latest announcement"
+                        : "from another start than the current one"}});
+    if (verdict == ReportVerdict::kOther && is_leaving &&
+        start.id == this->starts.current().id &&
+        this->state == TargetState::kTakesWork) {
+      // Requests that name the instance would reach the one that leaves if it
+      // is there. The current start's next report brings it back.
+      this->SetState(TargetState::kGone,
+                     "another start under its name is leaving");
+    }
+    return verdict == ReportVerdict::kKnown || is_leaving;
   }
+  const bool is_new_start = verdict == ReportVerdict::kReplaced;
   const bool has_new_slot_count = announcement.slots != this->target.slots;
   const std::uint64_t slots_before = this->target.slots;
-  const std::string start_before = StartName(this->target);
-  if (!is_same_start && this->state == TargetState::kTakesWork) {
+  if (is_new_start && this->state == TargetState::kTakesWork) {
     this->ConfirmCrash();
   }
   this->target = announcement;
+  this->target.born_ms = this->starts.current().incarnation;
   if (this->target.slots == 0) {
     this->target.slots = static_cast<std::uint32_t>(slots_before);
   }
-  if (!is_same_start) {
+  if (is_new_start) {
     this->crash_detector.Reset();
     this->slots.ResetMeanWork();
     this->failures.Reset();
-    this->earlier_starts.insert(start_before);
   }
   this->announced_at = now;
   this->cold_until = now + announcement.cold_for;
-  if (has_new_slot_count || !is_same_start) {
+  if (has_new_slot_count || is_new_start) {
     this->slots.Resize({.slots = static_cast<int>(this->target.slots)});
   }
-  TargetState next = announcement.state;
-  if (next == TargetState::kLeaving) {
-    this->retired.insert(start);
-  } else if (this->retired.contains(start)) {
-    next = TargetState::kLeaving;
-  }
-  if (next != this->state || !is_same_start || has_new_slot_count) {
+  const TargetState next = this->starts.is_retired(this->starts.current())
+                               ? TargetState::kLeaving
+                               : announcement.state;
+  if (next != this->state || is_new_start || has_new_slot_count) {
     this->SetState(next, "announcement");
   }
   this->DispatchWaiting();
+  return true;
 }
 
 core::Duration Gate::AnnouncementTimeout() const {
@@ -776,7 +779,7 @@
   description.set_service(this->options.settings.target_service);
   description.set_slots(this->target.slots);
   // Only the target's own departure is final; its daemon may be restarted.
-  if (this->retired.contains(StartName(this->target))) {
+  if (this->starts.is_retired(this->starts.current())) {
     description.set_state(mesh::LEAVING);
   } else if (this->state == TargetState::kTakesWork) {
     description.set_state(this->draining ? mesh::DAEMON_STOPS
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -277,7 +277,7 @@
         .on_hello =
             [this](const mesh::Hello& hello) {
               for (const std::string& start : hello.retired_starts()) {
-                this->gate.Retire(start);
+                this->RetireOwn(start);
               }
               this->quarantine.Apply(hello.crash_marks());
               if (hello.manifest_version() > this->manifest.version()) {
@@ -301,12 +301,23 @@
             }};
   }
 
+  // A start of the target beside this daemon has left, as others remember.
+  void RetireOwn(const std::string& name) {
+    if (const auto start = requests::ParseStartName(name)) {
+      this->gate.Retire(*start);
+    } else {
+      this->log.Write(
+          Event::kBadPeerMessage,
+          {{"reason", "malformed name of a start"}, {"name", name}});
+    }
+  }
+
   // Takes over what daemons knew before a restart.
   void OnRecord(const records::RecordKey& key, const std::string& value) {
     this->own_records.Recall(key);
     if (key.kind == kDepartureRecords) {
       if (key.daemon == this->options.settings.name) {
-        this->gate.Retire(key.id);
+        this->RetireOwn(key.id);
       } else {
         this->retired_starts.Record(key.daemon, key.id);
       }
@@ -693,7 +704,10 @@
       return;
     }
     const auto& announcement = std::get<Announcement>(decoded);
-    this->gate.OnAnnouncement(announcement);
+    if (!this->gate.OnAnnouncement(announcement)) {
+      exchange->Send({.status = 503});
+      return;
+    }
     const bool is_departure =
         announcement.state == TargetState::kGone ||
         (announcement.state == TargetState::kLeaving &&
--- a/tests/harness/sidecar_vm.cpp
+++ b/tests/harness/sidecar_vm.cpp
@@ -160,13 +160,16 @@
 }
 
 unsigned SidecarVm::Announce(const std::string& state) {
-  ++this->sequence;
+  return this->AnnounceAs(this->target->born(), ++this->sequence, state);
+}
+
+unsigned SidecarVm::AnnounceAs(int born, int report, const std::string& state) {
   return SendRequest(
              this->base_port + 1, Verb::post,
              "/v1/instances/i-" + this->name + "/heartbeat", "",
-             R"({"born":)" + std::to_string(this->target->born()) +
+             R"({"born":)" + std::to_string(born) +
                  R"(,"info":{"service":"s","slots":4},"status":{"state":")" +
-                 state + R"(","seq":)" + std::to_string(this->sequence) +
+                 state + R"(","seq":)" + std::to_string(report) +
                  R"(,"cold_time":"0ms"}})")
       .status;
 }
--- a/tests/harness/sidecar_vm.h
+++ b/tests/harness/sidecar_vm.h
@@ -97,6 +97,8 @@
   void Start();
   // The current start of the target announces itself; returns the status.
   unsigned Announce(const std::string& state);
+  // Any start of it does.
+  unsigned AnnounceAs(int born, int report, const std::string& state);
   unsigned Deregister();
   Reply Call(const std::string& target, const std::string& key = "k1",
              io::http::Verb verb = io::http::Verb::post);
--- a/tests/sidecar/departure_test.cpp
+++ b/tests/sidecar/departure_test.cpp
@@ -115,6 +115,49 @@
   }
 }
 
+// Guards against a target whose reports, its departure among them, were
+// acknowledged and ignored after a late report of its earlier start.
+TEST_CASE("A late report of an earlier start does not hide the current one",
+          "[sidecar][departure]") {
+  signal(SIGPIPE, SIG_IGN);
+  Store store(kFirstSidecarPort);
+  store.PutManifest(SidecarManifest(1, R"("k1")"));
+  Vm first(0);
+  Vm second(1);
+  REQUIRE(Eventually([&] { return first.IsReady() && second.IsReady(); }));
+  first.Announce("ready");
+  // The sidecar has not heard of the earlier start so far.
+  REQUIRE(second.AnnounceAs(2, 1, "ready") == 200);
+  // The next report of the current start is late.
+  std::this_thread::sleep_for(milliseconds(2500));
+  second.AnnounceAs(1, 2, "ready");
+
+  SECTION("when it reports again") {
+    REQUIRE(second.AnnounceAs(2, 2, "ready") == 200);
+    const int runs = second.target->runs;
+    CHECK(Eventually([&] {
+      second.Call("/pay/1");
+      return second.target->runs > runs;
+    }));
+  }
+  SECTION("when it leaves") {
+    REQUIRE(second.AnnounceAs(2, 2, "draining") == 200);
+    const int runs = second.target->runs;
+    for (int i = 0; i < 20; ++i) {
+      first.Call("/pay/1");
+      second.Call("/pay/1");
+    }
+    CHECK(second.target->runs == runs);
+
+    SECTION("and another late report comes") {
+      std::this_thread::sleep_for(milliseconds(2500));
+      second.AnnounceAs(1, 3, "ready");
+      second.Call("/pay/1");
+      CHECK(second.target->runs == runs);
+    }
+  }
+}
+
 TEST_CASE("A departure is stored once", "[sidecar][departure]") {
   int writes = 0;
   int acknowledged = 0;
