--- a/packages/core/src/manifest/reader_standby.cpp
+++ b/packages/core/src/manifest/reader_standby.cpp
@@ -38,7 +38,7 @@
 // The daemons take over in groups, each as large as all before it: whichever of
 // them are cut off from the store, few more than needed read it.
 Duration ReaderStandby::TakeoverAge(std::size_t rank) const {
-  const int group = rank == 0 ? 0 : std::bit_width(rank) - 1;
+  const int group = rank == 0 ? 0 : static_cast<int>(std::bit_width(rank)) - 1;
   return std::chrono::duration_cast<Duration>(
       this->options.adoption_bound *
       std::min(kFirstTakeoverAge + kTakeoverStep * group, kLastTakeoverAge));
--- a/tests/core/quarantine_test.cpp
+++ b/tests/core/quarantine_test.cpp
@@ -22,7 +22,7 @@
 std::vector<CrashMark> Crash(CrashMarks& marks, const std::string& instance,
                              const std::vector<RunningRequest>& running,
                              Instant now) {
-  const auto left = MarksOfCrash(Start(instance), running, marks, now);
+  auto left = MarksOfCrash(Start(instance), running, marks, now);
   for (const CrashMark& mark : left) {
     marks.Add(mark, now);
   }
