Crash marks: three crashes quarantine a request that was never the only suspect

Copies of a crashing request that arrive at several sidecars at once crash several targets before any of them knows of the others; beside other requests none of these crashes points at it alone, and each copy of the next round could crash one more target. By reading and in the model; not seen in a run. The test "one that was running at three crashes at once is" fails without this rule.

--- a/packages/core/include/lycheewell/core/quarantine/crash_marks.h
+++ b/packages/core/include/lycheewell/core/quarantine/crash_marks.h
@@ -3,9 +3,9 @@
 // A crash of a target marks the requests that were running there. One mark
 // makes a request a suspect: a target runs at most one suspect at a time, so
 // that a second crash points at the one that was running there. A request that
-// was running at two crashes, at one of them as the only suspect, is
-// quarantined. When the quarantine lapses, the request is a suspect again and
-// one more crash renews its quarantine for twice as long.
+// was running at two crashes, at one of them as the only suspect, or at three
+// is quarantined. When the quarantine lapses, the request is a suspect again
+// and one more crash renews its quarantine for twice as long.
 #ifndef LYCHEEWELL_CORE_QUARANTINE_CRASH_MARKS_H_
 #define LYCHEEWELL_CORE_QUARANTINE_CRASH_MARKS_H_
 
@@ -23,6 +23,9 @@
 // a request's first quarantine.
 inline constexpr Duration kMarkLifetime = std::chrono::minutes(5);
 inline constexpr std::size_t kCrashesToQuarantine = 2;
+// Of a request that was never the only suspect: copies of it may crash several
+// targets before any of them knows of the others.
+inline constexpr std::size_t kCrashesWithoutProof = 3;
 // Limit on the requests that are marked at once.
 inline constexpr std::size_t kMaxMarks = 100'000;
 // Limit on the marks of one request. The oldest ones are dropped.
--- a/packages/core/src/quarantine/crash_marks.cpp
+++ b/packages/core/src/quarantine/crash_marks.cpp
@@ -120,11 +120,13 @@
 
 Duration CrashMarks::QuarantineTime(const Entry& entry) {
   const std::size_t proofs = CountSoleSuspectCrashes(entry);
-  if (entry.crashes.size() < kCrashesToQuarantine || proofs == 0) {
+  const std::size_t required =
+      proofs > 0 ? kCrashesToQuarantine : kCrashesWithoutProof;
+  if (entry.crashes.size() < required) {
     return Duration::zero();
   }
   // The crash that completed the evidence starts the first quarantine.
-  const std::size_t renewals = entry.crashes.size() - kCrashesToQuarantine;
+  const std::size_t renewals = entry.crashes.size() - required;
   return kMarkLifetime * (1U << std::min(renewals, proofs));
 }
 
--- a/tests/core/quarantine_test.cpp
+++ b/tests/core/quarantine_test.cpp
@@ -72,6 +72,17 @@
     CHECK(marks.StatusOf("beside", kStart) == QuarantineStatus::kSuspect);
     CHECK(marks.StatusOf("poison", kStart) == QuarantineStatus::kQuarantined);
   }
+  SECTION("one that was running at three crashes at once is") {
+    Crash(marks, "b", {{"poison"}, {"one"}}, kStart);
+    Crash(marks, "c", {{"poison"}, {"two"}}, kStart);
+    CHECK(marks.StatusOf("poison", kStart) == QuarantineStatus::kQuarantined);
+    CHECK(marks.StatusOf("beside", kStart) == QuarantineStatus::kSuspect);
+
+    SECTION("unless a target answers it") {
+      marks.Withdraw("poison", kStart);
+      CHECK(marks.StatusOf("poison", kStart) == QuarantineStatus::kClear);
+    }
+  }
   SECTION("a request that ran alone at both is") {
     CrashMarks alone;
     Crash(alone, "a", {{"poison"}}, kStart);
