Manifest: fewer calls to the store; crash marks skip calls without a fingerprint

They came from polls four times in the bound, from daemons that polled at that rate for the first manifest, and from failed reads of daemons on standby that were repeated after 0.25 s.

The reader polls three times in the bound, a daemon without a manifest waits for 2 s a poll, and a standby's failed read is repeated after 1 s, then 2 s.

A call from a daemon of an earlier version carries no fingerprint; such calls were taken for one request (by reading).

--- a/packages/core/src/manifest/reader_standby.cpp
+++ b/packages/core/src/manifest/reader_standby.cpp
@@ -6,14 +6,14 @@
 namespace lycheewell::core::manifest {
 namespace {
 
-constexpr int kPollsPerBound = 4;
+constexpr int kPollsPerBound = 3;
 
 // As fractions of the bound. A proof that is handed on regularly is younger
 // than the first takeover age: two polls and the way to a peer. The last one
 // leaves time for the read itself.
-constexpr double kFirstTakeoverAge = 0.65;
+constexpr double kFirstTakeoverAge = 0.72;
 constexpr double kTakeoverStep = 0.03;
-constexpr double kLastTakeoverAge = 0.85;
+constexpr double kLastTakeoverAge = 0.87;
 
 }  // namespace
 
--- a/packages/core/src/quarantine/crash_marks.cpp
+++ b/packages/core/src/quarantine/crash_marks.cpp
@@ -177,6 +177,9 @@
                                     const CrashMarks& marks, Instant now) {
   std::map<std::string, bool> is_suspect;  // by fingerprint
   for (const RunningRequest& request : running) {
+    if (request.fingerprint.empty()) {
+      continue;  // sent by a daemon of an earlier version
+    }
     bool& known = is_suspect.try_emplace(request.fingerprint).first->second;
     known = known || request.is_suspect;
   }
--- a/packages/sidecar/include/lycheewell/sidecar/manifest/manifest_keeper.h
+++ b/packages/sidecar/include/lycheewell/sidecar/manifest/manifest_keeper.h
@@ -88,7 +88,7 @@
   const StoreHooks& store;
   DecisionLog& log;
   core::manifest::ReaderStandby standby;
-  int failures_in_a_row = 0;
+  bool has_failed_before = false;  // since the last read that succeeded
   std::shared_ptr<const core::routing::RouteTable> current;
   std::string text;
   std::uint64_t next_offset = 0;
--- a/packages/sidecar/src/manifest/manifest_keeper.cpp
+++ b/packages/sidecar/src/manifest/manifest_keeper.cpp
@@ -13,10 +13,15 @@
 // within which a manifest must be in force everywhere.
 constexpr core::Duration kRetryDelay = std::chrono::milliseconds(250);
 
-// Longest retry delay of a daemon that does not read for others: the store
-// charges for refused calls, too.
+// Retry delays of a daemon that does not read for others: the store charges for
+// refused calls, too.
+constexpr core::Duration kStandbyRetryDelay = std::chrono::milliseconds(1000);
 constexpr core::Duration kMaxStandbyRetryDelay =
-    std::chrono::milliseconds(1000);
+    std::chrono::milliseconds(2000);
+
+// Duration of one long poll of a daemon that waits for the first manifest. It
+// returns at once when there is one.
+constexpr core::Duration kFirstManifestPoll = std::chrono::milliseconds(2000);
 
 // A daemon on standby checks the age of its proof at least this often: its rank
 // may change.
@@ -59,7 +64,8 @@
   }
   this->standby.BeginRead();
   this->store.await_manifest(
-      this->next_offset, this->standby.poll_timeout(),
+      this->next_offset,
+      this->current ? this->standby.poll_timeout() : kFirstManifestPoll,
       [this, sent_at = TimeSinceBoot()](auto result) {
         this->standby.EndRead(std::holds_alternative<StoredManifest>(result));
         this->OnStoreResult(std::move(result), sent_at);
@@ -68,11 +74,10 @@
 
 void ManifestKeeper::RetryLater() {
   const core::Duration delay =
-      this->ReadsForOthers()
-          ? kRetryDelay
-          : std::min(kRetryDelay * (1 << std::min(this->failures_in_a_row, 4)),
-                     kMaxStandbyRetryDelay);
-  ++this->failures_in_a_row;
+      this->ReadsForOthers() ? kRetryDelay
+                             : (this->has_failed_before ? kMaxStandbyRetryDelay
+                                                        : kStandbyRetryDelay);
+  this->has_failed_before = true;
   this->timers.After(delay, [this] {
     if (this->next_offset_known) {
       this->AwaitNewer();
@@ -100,7 +105,7 @@
     this->log.Write(Event::kStoreReachable, {});
   }
   this->store_reachable = true;
-  this->failures_in_a_row = 0;
+  this->has_failed_before = false;
   auto& stored = std::get<StoredManifest>(result);
   this->next_offset = stored.next_offset;
   this->next_offset_known = true;
--- a/tests/core/quarantine_test.cpp
+++ b/tests/core/quarantine_test.cpp
@@ -100,6 +100,9 @@
         kStart);
     CHECK(marks.StatusOf("poison", kStart) == QuarantineStatus::kQuarantined);
   }
+  SECTION("calls without a fingerprint are not taken for one request") {
+    CHECK(MarksOfCrash(Start("b"), {{""}, {""}}, marks, kStart).empty());
+  }
   SECTION("two poisonous requests are both found") {
     Crash(marks, "b", {{"other"}}, kStart);
     Crash(marks, "c", {{"beside", true}, {"other"}}, kStart);
