Loop monitor: a daemon that runs late says so

A daemon without processor time reads requests, closes and time-outs late; its log did not tell that from slow targets. LW1103 loop-late and the histogram loop_late do.

--- a/packages/daemon/include/lycheewell/daemon/events/event_catalogue.h
+++ b/packages/daemon/include/lycheewell/daemon/events/event_catalogue.h
@@ -21,6 +21,7 @@
   kBadPeerMessage = 1006,
   kLinesLeftOut = 1101,
   kSettingsReloaded = 1102,
+  kLoopLate = 1103,
 
   kRequestRouted = 2001,
   kRequestRefused = 2002,
--- a/packages/daemon/src/events/event_catalogue.cpp
+++ b/packages/daemon/src/events/event_catalogue.cpp
@@ -14,6 +14,7 @@
       {Event::kBadPeerMessage, Level::kWarn, "bad-peer-message"},
       {Event::kLinesLeftOut, Level::kInfo, "lines-left-out"},
       {Event::kSettingsReloaded, Level::kInfo, "settings-reloaded"},
+      {Event::kLoopLate, Level::kWarn, "loop-late"},
       {Event::kRequestRouted, Level::kInfo, "request-routed"},
       {Event::kRequestRefused, Level::kInfo, "request-refused"},
       {Event::kRequestRetried, Level::kInfo, "request-retried"},
--- a/packages/sidecar/include/lycheewell/sidecar/timer_queue.h
+++ b/packages/sidecar/include/lycheewell/sidecar/timer_queue.h
@@ -29,6 +29,10 @@
   // deadline has passed or `id` is 0.
   void Cancel(Id& id);
 
+  // Called before expired deadlines run, with the time for which the earliest
+  // of them has been due.
+  std::function<void(core::Duration late_by)> on_run;
+
  private:
   using Key = std::pair<core::Instant, Id>;
 
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -14,6 +14,7 @@
 #include "lycheewell/sidecar/decision_log.h"
 #include "lycheewell/sidecar/http/server.h"
 #include "lycheewell/sidecar/links/mesh.h"
+#include "lycheewell/sidecar/loop_monitor.h"
 #include "lycheewell/sidecar/manifest/manifest_keeper.h"
 #include "lycheewell/sidecar/records/departures.h"
 #include "lycheewell/sidecar/records/own_records.h"
@@ -99,6 +100,7 @@
         context(1),
         timers(this->context),
         log(this->context, this->timers),
+        loop_monitor(this->timers, this->log, this->counters),
         store(this->options.make_store(this->context, this->timers,
                                        this->options.settings)),
         manifest(this->timers, this->options.dialect, this->store, this->log,
@@ -878,8 +880,9 @@
   asio::io_context context;
   TimerQueue timers;
   DecisionLog log;
-  StoreHooks store;
   Counters counters;
+  LoopMonitor loop_monitor;
+  StoreHooks store;
   manifest::ManifestKeeper manifest;
   links::Mesh mesh;
   requests::AccountLimiter accounts;
--- a/packages/sidecar/src/timer_queue.cpp
+++ b/packages/sidecar/src/timer_queue.cpp
@@ -48,6 +48,9 @@
 
 void TimerQueue::RunExpired() {
   const core::Instant now = Now();
+  if (this->on_run) {
+    this->on_run(std::max(core::Duration::zero(), now - this->armed_deadline));
+  }
   while (!this->actions.empty() && this->actions.begin()->first.first <= now) {
     const auto first = this->actions.begin();
     const std::function<void()> action = std::move(first->second);
