--- a/tests/harness/sidecar_vm.cpp
+++ b/tests/harness/sidecar_vm.cpp
@@ -125,10 +125,11 @@
       .body = response.body()};
 }
 
-SidecarVm::SidecarVm(int number, int new_store_port)
+SidecarVm::SidecarVm(int number, int new_store_port, int new_links_proxy_port)
     : base_port(kFirstSidecarPort + 20 + 20 * number),
       name("vm-" + std::to_string(number)),
       store_port(new_store_port),
+      links_proxy_port(new_links_proxy_port),
       folder((std::filesystem::temp_directory_path() /
               ("lycheewell-sidecar-" + std::to_string(getpid()) + "-" +
                std::to_string(this->base_port)))
@@ -150,6 +151,9 @@
       << LoopbackAddress(this->base_port + 2) << R"(","target":{"address":")"
       << LoopbackAddress(this->base_port + 3)
       << R"(","service":"s"},"links_port":)" << this->base_port + 4
+      << R"(,"advertised_links_port":)"
+      << (this->links_proxy_port > 0 ? this->links_proxy_port
+                                     : this->base_port + 4)
       << R"(,"metrics_port":)" << this->base_port + 5
       << R"(,"store":{"address":")" << LoopbackAddress(this->store_port)
       << R"("},"bounds":{}}})";
@@ -202,7 +206,9 @@
          R"("priority","attempts","public","service"],"rows":[)"
          R"(["pay","a.example","/pay/","unsafe","2000ms","1500ms",0,2,false,"s"],)"
          R"(["long","a.example","/long/","unsafe","7000ms","6000ms",0,2,false,"s"],)"
-         R"(["look","a.example","/look/","safe","2000ms","1500ms",2,2,false,"s"]]},)"
+         R"(["look","a.example","/look/","safe","2000ms","1500ms",2,2,false,"s"],)"
+         R"(["inner","a.example","/inner/","safe","7000ms","6000ms",2,2,true,"s"],)"
+         R"(["scan","a.example","/scan/","safe","7000ms","6000ms",2,2,false,"s"]]},)"
          R"("services":{"columns":["name","healthPath","maxConnections"],"rows":[["s","/h",99]]},)"
          R"("tenants":{"columns":["name","apiKeys"],"rows":[["club",[)" +
          keys + "]]]}}";
--- a/tests/harness/sidecar_vm.h
+++ b/tests/harness/sidecar_vm.h
@@ -85,8 +85,10 @@
 // A sidecar and its target.
 class SidecarVm {
  public:
-  // `store_port` is where this VM finds the store.
-  explicit SidecarVm(int number, int store_port = kFirstSidecarPort);
+  // `store_port` is where this VM finds the store. Peers dial
+  // `links_proxy_port` if it is not 0.
+  explicit SidecarVm(int number, int store_port = kFirstSidecarPort,
+                     int links_proxy_port = 0);
   ~SidecarVm();
 
   SidecarVm(const SidecarVm&) = delete;
@@ -116,11 +118,13 @@
 
  private:
   int store_port;
+  int links_proxy_port;
   std::string folder;
 };
 
 // A manifest with the accounts' keys as JSON strings, separated by commas. The
-// unsafe routes /pay/ and /long/ and the safe route /look/ lead to the targets.
+// unsafe routes /pay/ and /long/ and the safe routes /look/ and /scan/ lead to
+// the targets; so does the open safe route /inner/, for calls by targets.
 std::string SidecarManifest(int version, const std::string& keys);
 
 }  // namespace lycheewell::harness
--- /dev/null
+++ b/tests/harness/working_target.h
@@ -0,0 +1,54 @@
+// Fake of a target that shows for how long it is at work on each request. It
+// ignores time limits and stops only when the connection closes.
+#ifndef LYCHEEWELL_TESTS_HARNESS_WORKING_TARGET_H_
+#define LYCHEEWELL_TESTS_HARNESS_WORKING_TARGET_H_
+
+#include <atomic>
+#include <chrono>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace lycheewell::harness {
+
+class WorkingTarget {
+ public:
+  explicit WorkingTarget(int port);
+  ~WorkingTarget();
+
+  WorkingTarget(const WorkingTarget&) = delete;
+  WorkingTarget& operator=(const WorkingTarget&) = delete;
+
+  // Header lines of every answer, before the first request comes.
+  std::string header_lines;
+  // How long a request is worked on before it is answered; a negative time
+  // means that it never is.
+  std::atomic<int> work_ms = -1;
+  // Whether a request's body is read before the work on it begins.
+  std::atomic<bool> reads_bodies = true;
+  // A request whose path contains "/calls/" makes a call through the daemon's
+  // port for clients here, and ends it when its own connection closes.
+  std::atomic<int> calls_port = 0;
+
+  // Requests that reached the target, and those that it is at work on.
+  int arrivals() const { return this->arrived; }
+  int at_work() const { return this->working; }
+
+ private:
+  void Accept();
+  void Serve(int connection);
+  // Works on one request; returns whether the connection is still open.
+  bool Work(int connection, const std::string& head);
+  int Call(const std::string& head) const;
+
+  int listener = -1;
+  std::atomic<int> arrived = 0;
+  std::atomic<int> working = 0;
+  std::atomic<bool> has_ended = false;
+  std::vector<std::thread> workers;  // changed by `acceptor` only
+  std::thread acceptor;
+};
+
+}  // namespace lycheewell::harness
+
+#endif  // LYCHEEWELL_TESTS_HARNESS_WORKING_TARGET_H_
--- a/tests/soak/proxy.cpp
+++ b/tests/soak/proxy.cpp
@@ -62,6 +62,7 @@
 
 asio::awaitable<void> Proxy::Serve(SocketPointer caller) {
   const auto target = std::make_shared<tcp::socket>(this->context);
+  const int connection = ++this->last_connection;
   try {
     co_await target->async_connect(Loopback(this->target_port),
                                    asio::use_awaitable);
@@ -72,12 +73,13 @@
   this->sockets.insert(caller);
   this->sockets.insert(target);
   asio::co_spawn(this->context,
-                 this->Pump(caller, target, this->holds_to_target),
+                 this->Pump(caller, target, connection, this->holds_to_target),
                  asio::detached);
-  co_await this->Pump(target, caller, this->holds_from_target);
+  co_await this->Pump(target, caller, connection, this->holds_from_target);
 }
 
 asio::awaitable<void> Proxy::Pump(SocketPointer from, SocketPointer to,
+                                  int connection,
                                   const std::atomic<bool>& is_held) {
   std::string block(kBlockBytes, '\0');
   try {
@@ -91,7 +93,7 @@
         co_await WaitFor(milliseconds(static_cast<int>(size) * 1000 /
                                       this->bytes_per_second));
       }
-      while (is_held) {
+      while (is_held || connection <= this->last_silent) {
         co_await WaitFor(kHoldCheckPeriod);
       }
       co_await asio::async_write(*to, asio::buffer(block.data(), size),
--- a/tests/soak/proxy.h
+++ b/tests/soak/proxy.h
@@ -27,6 +27,9 @@
   // 0: no limit.
   void SetBytesPerSecond(int bytes) { this->bytes_per_second = bytes; }
   void ResetAll();
+  // Nothing more passes on the connections that are open now, nor do their
+  // ends. New ones work.
+  void SilenceOpen() { this->last_silent = this->last_connection.load(); }
 
  private:
   using Socket = boost::asio::ip::tcp::socket;
@@ -35,6 +38,7 @@
   boost::asio::awaitable<void> Accept();
   boost::asio::awaitable<void> Serve(SocketPointer caller);
   boost::asio::awaitable<void> Pump(SocketPointer from, SocketPointer to,
+                                    int connection,
                                     const std::atomic<bool>& is_held);
 
   boost::asio::io_context& context;
@@ -45,6 +49,8 @@
   std::atomic<bool> holds_to_target = false;
   std::atomic<bool> holds_from_target = false;
   std::atomic<int> bytes_per_second = 0;
+  std::atomic<int> last_connection = 0;  // connections are numbered from 1
+  std::atomic<int> last_silent = 0;
 };
 
 }  // namespace lycheewell::soak
