Target connections: cancelled requests reset their connection

Cause: the connection was closed in order, so the kernel sent the rest of the request first; the close waited behind bytes that the target did not read. Why it works: a reset overtakes unsent bytes. Only connections with a request in progress are reset.

--- a/packages/sidecar/src/http/client_connection.cpp
+++ b/packages/sidecar/src/http/client_connection.cpp
@@ -238,6 +238,11 @@
 }
 
 void ClientConnection::Abort() {
+  if (this->current) {
+    // A plain close would reach the target behind the rest of the request.
+    boost::system::error_code ignored;
+    this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  }
   this->current.reset();
   this->CloseSocket();
 }
