Links: cancels that a peer may not have received are sent again

Cause: a cancel went once, on the link of its call. A silent link loses it, a closed link has none to send it on, and the other end notices neither. Why it works: a cancel is kept until the peer has answered a later ping, and goes again on the next link; the peer finds the call by its sender, as a daemon numbers its calls across its links. Calls of a daemon that is only paused go on. The table of accepted calls moved from sidecar.cpp to a file of its own.

--- a/packages/sidecar/include/lycheewell/sidecar/links/mesh.h
+++ b/packages/sidecar/include/lycheewell/sidecar/links/mesh.h
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "lycheewell/core/membership/unconfirmed_cancels.h"
 #include "lycheewell/sidecar/decision_log.h"
 #include "lycheewell/sidecar/hooks.h"
 #include "lycheewell/sidecar/links/link.h"
@@ -87,7 +88,7 @@
 
   // Takes back a call that was sent on link `link_id`. Returns whether no part
   // of it has left: it has then not run and never will. Otherwise the call is
-  // cancelled.
+  // cancelled, on the next link to `member` if this one is silent or closed.
   bool Withdraw(const std::string& member, std::uint64_t link_id,
                 std::uint64_t call_id);
 
@@ -195,6 +196,7 @@
   // Takes back the calls that have waited too long to be sent on `link`.
   void WithdrawHeldCalls(const LinkPointer& link, core::Instant now);
   void OnPong(const LinkPointer& link, const mesh::Pong& pong);
+  void RepeatCancels(const LinkPointer& link);
   void SendMembers(const LinkPointer& link);
   void RefreshDigest();
   // Stops new calls to the member. Its entry stays until its dialled link
@@ -221,6 +223,7 @@
   std::map<std::string, Peer> peers;
   std::set<LinkPointer> accepted;
   std::map<std::uint64_t, SilentLink> silent_links;  // by link id
+  core::membership::UnconfirmedCancels cancels;
   // Incarnations of dropped members. Other daemons may still know them.
   std::map<std::string, std::uint64_t> dropped_incarnations;
   std::uint64_t last_link_id = 0;
--- a/packages/sidecar/src/links/mesh.cpp
+++ b/packages/sidecar/src/links/mesh.cpp
@@ -227,6 +227,7 @@
   }
   this->dropped_incarnations[name] = found->second.member.incarnation();
   this->peers.erase(found);
+  this->cancels.Forget(name);
 }
 
 void Mesh::Dial(const std::string& name) {
@@ -327,14 +328,28 @@
     found->second.established = true;
     found->second.redial_backoff = {};
     this->log.Write(Event::kLinkOpened, {{"member", name}});
+    this->RepeatCancels(link);
     this->options.hooks.on_target(name, hello.target());
     this->SetReachable(found->second, true);
   }
   this->options.hooks.on_hello(hello);
 }
 
+void Mesh::RepeatCancels(const LinkPointer& link) {
+  for (const std::uint64_t call :
+       this->cancels.SendAgain(link->member, Now())) {
+    mesh::Frame frame;
+    frame.mutable_cancel()->set_call_id(call);
+    frame.mutable_cancel()->set_is_repeated(true);
+    link->Send(frame);
+  }
+}
+
 void Mesh::OnPong(const LinkPointer& link, const mesh::Pong& pong) {
   link->RecordPeerClock(pong.clock_us());
+  if (const auto ping_sent_at = this->PingSentAt(link->member, pong.id())) {
+    this->cancels.Confirm(link->member, core::Instant(*ping_sent_at));
+  }
   const core::Instant now = Now();
   const auto found = this->peers.find(link->member);
   if (found != this->peers.end() && found->second.ping_id == pong.id()) {
@@ -603,12 +618,17 @@
              found->second.dialled->id == link_id) {
     link = found->second.dialled;
   }
-  if (!link || link->Withdraw(call_id)) {
-    return link != nullptr;
+  if (link && link->Withdraw(call_id)) {
+    return true;
+  }
+  if (this->peers.contains(member)) {
+    this->cancels.Record(member, call_id, Now());
+  }
+  if (link) {
+    mesh::Frame frame;
+    frame.mutable_cancel()->set_call_id(call_id);
+    link->Send(frame);
   }
-  mesh::Frame frame;
-  frame.mutable_cancel()->set_call_id(call_id);
-  link->Send(frame);
   return false;
 }
 
--- a/packages/sidecar/src/requests/frontend.cpp
+++ b/packages/sidecar/src/requests/frontend.cpp
@@ -484,6 +484,8 @@
   constexpr bool kOnlyIdempotent = false;
   for (const PendingPointer& pending :
        this->CallsOn(link_id, kOnlyIdempotent)) {
+    // The other end of the link may not have noticed.
+    this->options.mesh.Withdraw(pending->member, link_id, pending->call_id);
     this->remote_calls.erase(pending->call_id);
     this->OnOutcome(pending, {.outcome = Outcome::kMayHaveRun,
                               .reason = "link to the target's daemon lost"});
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -13,6 +13,7 @@
 #include "lycheewell/sidecar/counters.h"
 #include "lycheewell/sidecar/decision_log.h"
 #include "lycheewell/sidecar/http/server.h"
+#include "lycheewell/sidecar/links/accepted_calls.h"
 #include "lycheewell/sidecar/links/mesh.h"
 #include "lycheewell/sidecar/loop_monitor.h"
 #include "lycheewell/sidecar/manifest/manifest_keeper.h"
@@ -496,8 +497,7 @@
                        {"transit_ms", std::to_string(Milliseconds(transit))}});
     }
     const std::uint64_t call_id = call.call_id();
-    auto& tickets = this->tickets_by_link[link.get()];
-    tickets[call_id] = 0;
+    this->accepted_calls.Add(link, call_id);
     const requests::Gate::Ticket ticket = this->gate.Submit(
         {.instance = call.instance(),
          .request_id = call.request_id(),
@@ -518,19 +518,14 @@
         [this, link, call_id](requests::GateReply reply) {
           this->AnswerCall(link, call_id, std::move(reply));
         });
-    const auto found = tickets.find(call_id);
-    if (found != tickets.end()) {
-      found->second = ticket;
-    }
+    this->accepted_calls.SetTicket(link, call_id, ticket);
   }
 
   void AnswerCall(const links::LinkPointer& link, std::uint64_t call_id,
                   requests::GateReply reply) {
-    const auto tickets = this->tickets_by_link.find(link.get());
-    if (tickets == this->tickets_by_link.end()) {
+    if (!this->accepted_calls.Remove(link, call_id)) {
       return;  // the link has closed
     }
-    tickets->second.erase(call_id);
     mesh::Frame frame;
     mesh::Reply& answer = *frame.mutable_reply();
     answer.set_call_id(call_id);
@@ -556,24 +551,17 @@
   }
 
   void OnCancel(const links::LinkPointer& link, const mesh::Cancel& cancel) {
-    auto& tickets = this->tickets_by_link[link.get()];
-    const auto found = tickets.find(cancel.call_id());
-    if (found == tickets.end()) {
-      return;
+    auto ticket = this->accepted_calls.Take(link, cancel.call_id());
+    if (!ticket && cancel.is_repeated()) {
+      ticket = this->accepted_calls.TakeFromSender(link, cancel.call_id());
+    }
+    if (ticket) {
+      this->gate.Cancel(*ticket);
     }
-    const requests::Gate::Ticket ticket = found->second;
-    tickets.erase(found);
-    this->gate.Cancel(ticket);
   }
 
   void DropCalls(const links::LinkPointer& link) {
-    const auto found = this->tickets_by_link.find(link.get());
-    if (found == this->tickets_by_link.end()) {
-      return;
-    }
-    const auto tickets = std::move(found->second);
-    this->tickets_by_link.erase(found);
-    for (const auto& [call_id, ticket] : tickets) {
+    for (const auto ticket : this->accepted_calls.TakeAll(link)) {
       this->gate.Cancel(ticket);
     }
   }
@@ -896,10 +884,7 @@
   http::Server readiness_server;
   http::Server metrics_server;
   asio::signal_set signals;
-  // Tickets of the calls received on each link, by call id.
-  std::map<const links::Link*,
-           std::unordered_map<std::uint64_t, requests::Gate::Ticket>>
-      tickets_by_link;
+  links::AcceptedCalls accepted_calls;
   // Keeps a target that has left from getting work again after its daemon
   // restarts: this daemon tells the restarted one in its Hello.
   core::membership::RetiredStarts retired_starts;
