Client server: time limits count from a request's first bytes

What callers saw: a request whose body arrived within a second was held on for its whole time-out from then on (3.0 s for 2 s); one whose body never came was held on for 30 s, beyond its time limit and its route's time-out. Cause: the time limit began when the request had been read as a whole, and a body had 30 s to arrive. Why it works: the server notes when the first bytes of a request were read, and asks for the request's time limit when its head is there. A body that has not arrived by then gets 408: the request has not run and never will. Evidence: sidecar_tests "[abandoned]", section "counted from the request's first bytes", failed before (3008 ms, bound 2500 ms) and holds.

--- a/packages/sidecar/include/lycheewell/sidecar/http/server.h
+++ b/packages/sidecar/include/lycheewell/sidecar/http/server.h
@@ -33,7 +33,7 @@
 class ServerExchange {
  public:
   ServerExchange(std::weak_ptr<ServerConnection> connection,
-                 io::http::Request request,
+                 io::http::Request request, core::Instant began_at,
                  std::unique_ptr<BodyAllowance> body_allowance);
 
   // Commands.
@@ -50,12 +50,15 @@
 
   const io::http::Request& request() const { return this->message; }
   io::http::Request& request() { return this->message; }
+  // When the first bytes of the request were read.
+  core::Instant began_at() const { return this->first_read_at; }
   bool is_answered() const { return this->answered; }
 
  private:
   friend class ServerConnection;
   std::weak_ptr<ServerConnection> connection;
   io::http::Request message;
+  core::Instant first_read_at;
   std::unique_ptr<BodyAllowance> body_allowance;
   std::function<void()> on_disconnect;
   bool answered = false;
@@ -79,6 +82,9 @@
   std::function<ServerLimits()> limits;
   // Called for requests that the server rejects without calling the handler.
   std::function<void(unsigned status, std::string_view reason)> on_bad_request;
+  // Time within which a request with this head must be answered; if its body
+  // has not arrived by then, it is refused. Null: no such limit.
+  std::function<core::Duration(const io::http::Request& head)> time_limit;
   // Bounds the bodies of all requests that have not been answered; null: no
   // bound.
   ByteBudgetPointer body_budget;
--- a/packages/sidecar/include/lycheewell/sidecar/requests/frontend.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/frontend.h
@@ -82,6 +82,10 @@
     return this->counts_by_route;
   }
 
+  // Time from the first bytes of a request with this head within which it must
+  // be answered.
+  core::Duration TimeLimitOf(const io::http::Request& head) const;
+
   std::size_t open_requests() const { return this->open; }
   // Whether calls that must not be repeated wait for replies on the link.
   bool has_unrepeatable_calls(std::uint64_t link_id) const;
@@ -94,6 +98,8 @@
   struct Pending;
   using PendingPointer = std::shared_ptr<Pending>;
 
+  static core::Duration TimeLimitOf(const ClientRequest& request,
+                                    const core::manifest::Route* route);
   void Admit(const PendingPointer& pending);
   // Logs the admitted fractions of routes that have changed noticeably.
   void LogAdmittedFractions();
--- a/packages/sidecar/src/http/server.cpp
+++ b/packages/sidecar/src/http/server.cpp
@@ -1,11 +1,13 @@
 #include "lycheewell/sidecar/http/server.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <optional>
 
+#include "lycheewell/sidecar/clock.h"
 #include "lycheewell/sidecar/http/socket_options.h"
 
 namespace lycheewell::sidecar::http {
@@ -144,6 +146,17 @@
 
   ServerLimits Limits() const { return this->server.options.limits(); }
 
+  // Time that the rest of the request's body has to arrive.
+  core::Duration BodyTimeout() const {
+    core::Duration limit = kBodyTimeout;
+    if (this->server.options.time_limit) {
+      limit = std::min(limit,
+                       this->server.options.time_limit(this->parser->get()) -
+                           (Now() - this->began_at));
+    }
+    return std::max(core::Duration::zero(), limit);
+  }
+
   void StartTimer(core::Duration limit) {
     this->server.timers.Cancel(this->timer);
     this->timer = this->server.timers.After(
@@ -205,6 +218,7 @@
             return;
           }
           self->buffer.commit(size);
+          self->read_at = Now();
           if (self->lingering) {
             self->buffer.consume(self->buffer.size());
           } else {
@@ -229,6 +243,7 @@
       this->parser->eager(true);
       this->parser->header_limit(limits.header_bytes);
       this->parser->body_limit(limits.body_bytes);
+      this->began_at = this->read_at;
       this->body_allowance =
           std::make_unique<BodyAllowance>(this->server.options.body_budget);
       this->StartTimer(limits.header_timeout);
@@ -253,7 +268,7 @@
     }
     if (!had_header && this->parser->is_header_done() &&
         !this->parser->is_done()) {
-      this->StartTimer(kBodyTimeout);
+      this->StartTimer(this->BodyTimeout());
       if (beast::iequals(this->parser->get()[io::http::Field::expect],
                          "100-continue")) {
         auto interim =
@@ -270,7 +285,7 @@
     this->server.timers.Cancel(this->timer);
     this->closes_after = !this->parser->keep_alive();
     this->exchange = std::make_shared<ServerExchange>(
-        this->weak_from_this(), this->parser->release(),
+        this->weak_from_this(), this->parser->release(), this->began_at,
         std::move(this->body_allowance));
     this->parser.reset();
     this->server.options.handler(this->exchange);
@@ -302,6 +317,8 @@
   beast::flat_buffer buffer;
   std::optional<Parser> parser;
   std::unique_ptr<BodyAllowance> body_allowance;  // of the request being read
+  core::Instant read_at;   // of the last bytes
+  core::Instant began_at;  // of the request being read
   ExchangePointer exchange;
   TimerQueue::Id timer = 0;
   bool reading = false;
@@ -315,9 +332,11 @@
 
 ServerExchange::ServerExchange(std::weak_ptr<ServerConnection> new_connection,
                                io::http::Request request,
+                               core::Instant new_began_at,
                                std::unique_ptr<BodyAllowance> new_allowance)
     : connection(std::move(new_connection)),
       message(std::move(request)),
+      first_read_at(new_began_at),
       body_allowance(std::move(new_allowance)) {}
 
 void ServerExchange::Send(const Answer& answer) {
--- a/packages/sidecar/src/requests/frontend.cpp
+++ b/packages/sidecar/src/requests/frontend.cpp
@@ -143,10 +143,31 @@
       .first->second;
 }
 
+core::Duration Frontend::TimeLimitOf(const ClientRequest& request,
+                                     const Route* route) {
+  const core::Duration limit = request.time_limit.value_or(kDefaultTimeLimit);
+  return route != nullptr && route->timeout > core::Duration::zero()
+             ? std::min(limit, route->timeout)
+             : limit;
+}
+
+core::Duration Frontend::TimeLimitOf(const io::http::Request& head) const {
+  const auto table = this->options.manifest.table();
+  auto decoded = this->options.dialect.decode_request(head);
+  const auto* request = std::get_if<ClientRequest>(&decoded);
+  if (request == nullptr) {
+    return kDefaultTimeLimit;  // refused for that when it has arrived
+  }
+  return TimeLimitOf(*request,
+                     table ? table->FindRoute(request->host,
+                                              PathOf(request->path_and_query))
+                           : nullptr);
+}
+
 void Frontend::Serve(http::ExchangePointer exchange) {
   const auto pending = std::make_shared<Pending>();
   pending->exchange = std::move(exchange);
-  pending->arrived_at = Now();
+  pending->arrived_at = pending->exchange->began_at();
   pending->table = this->options.manifest.table();
   ++this->open;
   auto decoded =
@@ -167,12 +188,8 @@
     return;
   }
   const Route& route = *pending->route;
-  core::Duration limit =
-      pending->request.time_limit.value_or(kDefaultTimeLimit);
-  if (route.timeout > core::Duration::zero()) {
-    limit = std::min(limit, route.timeout);
-  }
-  pending->deadline = pending->arrived_at + limit;
+  pending->deadline =
+      pending->arrived_at + TimeLimitOf(pending->request, &route);
   pending->soft_deadline =
       route.latency_target > core::Duration::zero()
           ? std::min(pending->deadline,
@@ -192,7 +209,7 @@
 
 bool Frontend::AdmitByDemand(const PendingPointer& pending) {
   const Route& route = *pending->route;
-  const core::Instant now = pending->arrived_at;
+  const core::Instant now = Now();
   if (this->demand_model.IsUpdateDue(now)) {
     this->demand_model.SetSlots(this->targets.SlotsByService());
     this->demand_model.Update(now);
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -141,10 +141,7 @@
                .counters = this->counters}),
         client_server(
             this->context, this->timers,
-            this->ServerFor(this->options.settings.clients_address,
-                            [this](const http::ExchangePointer& exchange) {
-                              this->front.Serve(exchange);
-                            })),
+            this->ClientServerOptions()),
         announcement_server(
             this->context, this->timers,
             this->ServerFor(this->options.settings.announcements_address,
@@ -213,6 +210,18 @@
             .body_budget = this->request_bodies};
   }
 
+  http::ServerOptions ClientServerOptions() {
+    http::ServerOptions server = this->ServerFor(
+        this->options.settings.clients_address,
+        [this](const http::ExchangePointer& exchange) {
+          this->front.Serve(exchange);
+        });
+    server.time_limit = [this](const io::http::Request& head) {
+      return this->front.TimeLimitOf(head);
+    };
+    return server;
+  }
+
   http::ServerLimits Limits() const {
     const auto table = this->manifest.table();
     if (!table) {
--- a/tests/sidecar/abandoned_work_test.cpp
+++ b/tests/sidecar/abandoned_work_test.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <thread>
@@ -199,23 +200,35 @@
     release.join();
     CHECK(steady_clock::now() - begin < kRouteTimeout + 2 * kBound);
   }
-  SECTION("counted from when the request arrived, if its body comes slowly") {
+  SECTION("counted from the request's first bytes") {
     fixture.Announce(fixture.first);
     boost::asio::io_context context;
-    boost::asio::ip::tcp::socket slow(context);
-    slow.connect(io::http::ParseEndpoint(
+    boost::asio::ip::tcp::socket client(context);
+    client.connect(io::http::ParseEndpoint(
         LoopbackAddress(fixture.first.base_port)));
     const auto begin = steady_clock::now();
     boost::asio::write(
-        slow, boost::asio::buffer(std::string(
-                  "PUT /look/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: slow"
-                  "\r\nDeadline-Ms: 6000\r\nAuthorization: Bearer k1\r\n"
-                  "Content-Length: 8\r\n\r\nbody")));
-    std::this_thread::sleep_for(milliseconds(1000));
-    boost::asio::write(slow, boost::asio::buffer(std::string("body")));
-    WaitUntilAtWork(*fixture.near);
-    CHECK(EndsWithin(*fixture.near, seconds(4)));
-    CHECK(steady_clock::now() - begin < kRouteTimeout + kBound);
+        client,
+        boost::asio::buffer(std::string(
+            "PUT /look/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: slow\r\n"
+            "Deadline-Ms: 6000\r\nAuthorization: Bearer k1\r\n"
+            "Content-Length: 8\r\n\r\nbody")));
+
+    SECTION("if its body comes slowly") {
+      std::this_thread::sleep_for(milliseconds(1000));
+      boost::asio::write(client, boost::asio::buffer(std::string("body")));
+      WaitUntilAtWork(*fixture.near);
+      CHECK(EndsWithin(*fixture.near, seconds(4)));
+      CHECK(steady_clock::now() - begin < kRouteTimeout + kBound);
+    }
+    SECTION("if the rest of its body does not come") {
+      std::string answer;
+      boost::asio::read_until(client, boost::asio::dynamic_buffer(answer),
+                              "\r\n");
+      CHECK(answer.starts_with("HTTP/1.1 408"));
+      CHECK(steady_clock::now() - begin < kRouteTimeout + kBound);
+      CHECK(fixture.near->arrivals() == 0);
+    }
   }
 }
 
