--- a/packages/sidecar/include/lycheewell/sidecar/http/server.h
+++ b/packages/sidecar/include/lycheewell/sidecar/http/server.h
@@ -85,6 +85,9 @@
   // Time within which a request with this head must be answered; if its body
   // has not arrived by then, it is refused. Null: no such limit.
   std::function<core::Duration(const io::http::Request& head)> time_limit;
+  // Whether requests are read late, so that their clients may have left before.
+  // Null: never.
+  std::function<bool()> is_behind;
   // Bounds the bodies of all requests that have not been answered; null: no
   // bound.
   ByteBudgetPointer body_budget;
--- a/packages/sidecar/include/lycheewell/sidecar/loop_monitor.h
+++ b/packages/sidecar/include/lycheewell/sidecar/loop_monitor.h
@@ -10,7 +10,7 @@
 namespace lycheewell::sidecar {
 
 // A late loop looks like slow targets from outside. Its lateness is logged and
-// counted.
+// counted. Timers must run many times a second.
 class LoopMonitor {
  public:
   LoopMonitor(TimerQueue& timers, DecisionLog& log, Counters& counters);
@@ -18,11 +18,16 @@
   LoopMonitor(const LoopMonitor&) = delete;
   LoopMonitor& operator=(const LoopMonitor&) = delete;
 
+  // Whether input that is read now may have waited for noticeably long.
+  bool is_behind() const;
+
  private:
   void OnRun(core::Duration late_by);
 
   DecisionLog& log;
   Counters& counters;
+  core::Instant last_run;
+  core::Instant behind_until;
 };
 
 }  // namespace lycheewell::sidecar
--- a/packages/sidecar/src/http/server.cpp
+++ b/packages/sidecar/src/http/server.cpp
@@ -1,10 +1,13 @@
 #include "lycheewell/sidecar/http/server.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <cerrno>
 #include <optional>
 
 #include "lycheewell/sidecar/clock.h"
@@ -282,6 +285,11 @@
     if (!this->parser->is_done()) {
       return;
     }
+    if (this->server.options.is_behind && this->server.options.is_behind() &&
+        this->HasClientLeft()) {
+      this->Close();
+      return;
+    }
     this->server.timers.Cancel(this->timer);
     this->closes_after = !this->parser->keep_alive();
     this->exchange = std::make_shared<ServerExchange>(
@@ -291,6 +299,14 @@
     this->server.options.handler(this->exchange);
   }
 
+  // Looks for the end of the connection behind the bytes that have been read.
+  bool HasClientLeft() {
+    char next = 0;
+    const ssize_t size = recv(this->socket.native_handle(), &next, sizeof next,
+                              MSG_PEEK | MSG_DONTWAIT);
+    return size == 0 || (size < 0 && errno != EAGAIN && errno != EINTR);
+  }
+
   void RejectMalformed(const beast::error_code& error) {
     if (error == beast::http::error::body_limit) {
       this->Reject(413, error.message());
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -216,6 +216,7 @@
         [this](const http::ExchangePointer& exchange) {
           this->front.Serve(exchange);
         });
+    server.is_behind = [this] { return this->loop_monitor.is_behind(); };
     server.time_limit = [this](const io::http::Request& head) {
       return this->front.TimeLimitOf(head);
     };
