Choice of target: replies of the own target report its load, too

What callers saw: a daemon that was alone with its target refused requests after some 120 of them, one at a time (503 "no slot expected in time"); with another target at hand it sent 97 of 100 requests to the other VM. Cause: requests sent to a target count as waiting there until the next report of its load. Replies of other daemons and pongs carry one; the own target's was reported only when its state changed, so that the count grew without end. Found with the test of limited targets, whose only free target was the own one.

--- a/packages/sidecar/src/requests/frontend.cpp
+++ b/packages/sidecar/src/requests/frontend.cpp
@@ -410,6 +410,8 @@
          .fingerprint = pending->fingerprint,
          .is_suspect = is_suspect},
         [this, pending, call_id](GateReply reply) {
+          this->ReportLoad(this->options.mesh.self_name(),
+                           this->options.gate.DescribeLoad());
           if (!pending->is_closed && pending->call_id == call_id) {
             pending->ticket = 0;
             this->OnOutcome(pending, std::move(reply));
--- a/tests/sidecar/whole_path_test.cpp
+++ b/tests/sidecar/whole_path_test.cpp
@@ -205,3 +205,29 @@
     }));
   }
 }
+
+// Guards against a daemon that counts each request to its own target as one
+// that still waits there.
+TEST_CASE("A daemon goes on choosing the target beside it", "[sidecar]") {
+  signal(SIGPIPE, SIG_IGN);
+  Store store(kFirstSidecarPort);
+  store.PutManifest(SidecarManifest(1, R"("k1")"));
+  Vm first(0);
+  Vm second(1);
+  REQUIRE(Eventually([&] { return first.IsReady() && second.IsReady(); }));
+  REQUIRE(first.Announce("ready") == 200);
+
+  SECTION("after many requests, one at a time") {
+    for (int i = 0; i < 300; ++i) {
+      REQUIRE(first.Call("/pay/1").status == 200);
+    }
+  }
+  SECTION("rather than one on another VM") {
+    REQUIRE(second.Announce("ready") == 200);
+    std::this_thread::sleep_for(milliseconds(200));
+    for (int i = 0; i < 100; ++i) {
+      REQUIRE(first.Call("/pay/1").status == 200);
+    }
+    CHECK(first.target->runs > 70);
+  }
+}
