Limits of targets: the rate that a target names is capacity

Cause: nothing read the header. Change: the adapter decodes it; the daemon beside the target, which all of its requests pass, holds the rate (core NamedLimit): the least important requests are refused at once and go to other targets. The choice of target throttles what a limited target has refused lately, per rank, and goes by a target without a limit after a refusal; the demand model counts a limited target with the slots that its rate occupies. Why it works: one process admits all requests for a target, a token bucket bounds them in any 4 s, and an answer lifts the limit only if its request was sent after the limit had been named last. A rate of zero still lets a request pass every 10 s, so that an answer can lift it.

--- /dev/null
+++ b/packages/core/include/lycheewell/core/overload/named_limit.h
@@ -0,0 +1,82 @@
+// The request rate that a target in need has named, and the choice of the
+// requests that fit into it.
+#ifndef LYCHEEWELL_CORE_OVERLOAD_NAMED_LIMIT_H_
+#define LYCHEEWELL_CORE_OVERLOAD_NAMED_LIMIT_H_
+
+#include <map>
+#include <optional>
+
+#include "lycheewell/core/types.h"
+
+namespace lycheewell::core::overload {
+
+// Kept by the daemon beside the target, which all of its requests pass. Nothing
+// queues for the limit: a request that does not fit is refused and can go to
+// another target at once.
+class NamedLimit {
+ public:
+  // Commands.
+
+  // Takes what an answer of the target to a request that was sent at `sent_at`
+  // says: the limit that it names in requests per second, or nothing. A lower
+  // limit counts at once. A higher one, or none, counts from an answer on whose
+  // request was sent after the lower one had been named last, since answers can
+  // overtake each other. Returns whether the limit has changed noticeably.
+  bool OnAnswer(std::optional<double> per_second, Instant sent_at, Instant now);
+
+  // Peers remember that the target had named the limit before this daemon
+  // started. Ignored once the target has answered. Returns as OnAnswer.
+  bool Recall(double per_second, Instant now);
+
+  // The target has been replaced by another start.
+  void Reset() { *this = NamedLimit(); }
+
+  // Takes a request of `rank` into the limit or refuses it; lower ranks are
+  // more important. The more important requests may use the whole burst, the
+  // less important ones leave a part of it. A rank that is passed over again
+  // and again gets every kHighestRankInterval-th place.
+  bool Admit(int rank, Instant now);
+
+  // An admitted request was not sent.
+  void Return();
+
+  // Queries.
+
+  std::optional<double> per_second() const { return this->limit; }
+
+  // How long a daemon should send no request of a refused rank, so that a large
+  // fleet does not spend more on refusals than on requests.
+  Duration refusal_backoff() const;
+
+ private:
+  struct RankState {
+    Instant seen_at;
+    // Requests of other ranks that were admitted since this one was refused.
+    int passed_over = 0;
+  };
+
+  // Requests per second that are admitted: a limit of 0 must not keep the
+  // target from naming another.
+  double Rate() const;
+  double Burst() const;
+  void Refill(Instant now);
+  // Tokens that a request of `rank` must find.
+  double Needed(int rank, Instant now);
+  void CountRefusal(Instant now);
+  bool Set(std::optional<double> per_second, Instant now);
+
+  std::optional<double> limit;
+  std::optional<double> announced;  // the limit that was last a noticeable one
+  Instant named_at;                 // the last time at this limit or below
+  bool has_answered = false;
+  double tokens = 0;
+  Instant refilled_at;
+  std::map<int, RankState> ranks;  // of the last seconds
+  double backoff_seconds = 0;
+  int refusals = 0;  // since `counted_from`
+  Instant counted_from;
+};
+
+}  // namespace lycheewell::core::overload
+
+#endif  // LYCHEEWELL_CORE_OVERLOAD_NAMED_LIMIT_H_
--- a/packages/core/include/lycheewell/core/routing/target_selector.h
+++ b/packages/core/include/lycheewell/core/routing/target_selector.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <string_view>
 
+#include "lycheewell/core/routing/limit_throttle.h"
 #include "lycheewell/core/types.h"
 
 namespace lycheewell::core::routing {
@@ -25,6 +26,8 @@
   Duration mean_work{};  // mean time that a request holds a slot
   // Moving average of the fraction of runs that fail by the target's own fault.
   double failed_fraction = 0;
+  // Requests per second that the target takes from all daemons together.
+  std::optional<double> limit_per_second;
 
   bool operator==(const TargetLoad&) const = default;
 };
@@ -51,6 +54,15 @@
   bool operator==(const Choice&) const = default;
 };
 
+// What matters for the choice besides the service.
+struct ChoiceOptions {
+  int rank = 0;  // lower ranks are more important
+  std::size_t body_bytes = 0;
+  // A target without a limit goes before all others: one with a limit has
+  // refused the request.
+  bool prefers_unlimited = false;
+};
+
 class TargetSelector {
  public:
   // Commands. `member` names the daemon beside the target.
@@ -76,20 +88,32 @@
   // for later requests, too.
   void RecordRefusal(const std::string& member, Duration wait, Instant now);
 
-  // Queries.
+  // The member's daemon has admitted a request of `rank` to its target, or has
+  // refused it for the target's limit and wants no other one for `backoff`. No
+  // effect while the target has no limit.
+  void RecordAdmitted(const std::string& member, int rank, Instant now);
+  void RecordOverLimit(const std::string& member, int rank, Duration backoff,
+                       Instant now);
 
-  // The target with the lowest expected cost among those not in `excluded`, for
-  // a request with a body of `body_bytes`.
+  // The target with the lowest expected cost among those not in `excluded`. A
+  // target whose limit leaves no room for the rank is not chosen.
   std::optional<Choice> Choose(std::string_view service,
                                const std::set<std::string>& excluded,
                                Instant now, RandomSource& random,
-                               std::size_t body_bytes = 0) const;
+                               const ChoiceOptions& options = {});
+
+  // Queries.
+
+  // Whether a target of the service that could be chosen has a limit.
+  bool HasLimitedTarget(std::string_view service) const;
 
   // Service of the member's target; empty when the member is unknown.
   std::string ServiceOf(const std::string& member) const;
 
   // Slots of all reachable targets that accept work, by service. Cold targets
   // count in full because their slowness shows in the time that slots are held.
+  // A target with a limit counts with the slots that its requests occupy at
+  // that rate.
   std::map<std::string, double, std::less<>> SlotsByService() const;
 
   // Counts the targets of the service that accept work, reachable or not.
@@ -106,8 +130,16 @@
     Instant refused_at;
     Duration refused_wait{};
     Duration path_delay{};
+    LimitThrottle throttle;
   };
 
+  // Whether the target takes work, apart from its limit.
+  static bool IsEligible(const Entry& entry) {
+    return entry.target.accepts_work && entry.is_reachable;
+  }
+  // Slots that count as capacity of the service.
+  static double PlannedSlots(const Entry& entry);
+
   struct Estimate {
     Duration wait{};
     double cost_ns = 0;
--- a/packages/core/src/routing/target_selector.cpp
+++ b/packages/core/src/routing/target_selector.cpp
@@ -1,6 +1,7 @@
 #include "lycheewell/core/routing/target_selector.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lycheewell::core::routing {
 namespace {
@@ -43,6 +44,9 @@
 // arrive several times within this period.
 constexpr Duration kRefusalLifetime = std::chrono::milliseconds(200);
 
+// A limit that rises by this factor is tried anew.
+constexpr double kNoticeableRise = 1.2;
+
 // Random jitter added to each cost, so that daemons with the same load reports
 // do not all choose the same target among nearly equal ones.
 constexpr double kMaxJitterNs = 1e6;
@@ -83,6 +87,12 @@
   if (found == this->entries.end()) {
     return;
   }
+  const auto& limit_before = found->second.load.limit_per_second;
+  if (!load.limit_per_second ||
+      (limit_before &&
+       *load.limit_per_second > kNoticeableRise * *limit_before)) {
+    found->second.throttle = {};
+  }
   found->second.load = load;
   found->second.reported_at = now;
   found->second.sent_since_report = 0;
@@ -122,6 +132,34 @@
   }
 }
 
+void TargetSelector::RecordAdmitted(const std::string& member, int rank,
+                                    Instant now) {
+  const auto found = this->entries.find(member);
+  if (found != this->entries.end() && found->second.load.limit_per_second) {
+    found->second.throttle.RecordAdmitted(rank, now);
+  }
+}
+
+void TargetSelector::RecordOverLimit(const std::string& member, int rank,
+                                     Duration backoff, Instant now) {
+  const auto found = this->entries.find(member);
+  if (found != this->entries.end() && found->second.load.limit_per_second) {
+    found->second.throttle.RecordRefused(rank, backoff, now);
+  }
+}
+
+double TargetSelector::PlannedSlots(const Entry& entry) {
+  const double slots = entry.target.slots;
+  if (!entry.load.limit_per_second) {
+    return slots;
+  }
+  const Duration work = entry.load.mean_work > Duration::zero()
+                            ? entry.load.mean_work
+                            : kDefaultMeanWork;
+  return std::min(slots, *entry.load.limit_per_second *
+                             std::chrono::duration<double>(work).count());
+}
+
 double TargetSelector::CapacityOf(const Entry& entry, Instant now) {
   return std::max(
       1.0, entry.target.slots *
@@ -138,8 +176,8 @@
     const {
   std::map<std::string, double, std::less<>> slots;
   for (const auto& [member, entry] : this->entries) {
-    if (entry.target.accepts_work && entry.is_reachable) {
-      slots[entry.target.service] += entry.target.slots;
+    if (IsEligible(entry)) {
+      slots[entry.target.service] += PlannedSlots(entry);
     }
   }
   return slots;
@@ -195,38 +233,44 @@
 
 std::optional<Choice> TargetSelector::Choose(
     std::string_view service, const std::set<std::string>& excluded,
-    Instant now, RandomSource& random, std::size_t body_bytes) const {
+    Instant now, RandomSource& random, const ChoiceOptions& options) {
   const auto members = this->members_by_service.find(service);
   if (members == this->members_by_service.end()) {
     return std::nullopt;
   }
   std::optional<Choice> best;
   double best_cost = 0;
+  bool best_is_limited = false;
   std::size_t candidates = 0;
   const double lowest_mean_work_ns = this->LowestMeanWorkNs(members->second);
   const bool is_exploring = random() % kChoicesPerExploration == 0;
   for (const std::string& member : members->second) {
-    const Entry& entry = this->entries.at(member);
-    if (!entry.target.accepts_work || !entry.is_reachable ||
-        excluded.contains(member)) {
+    Entry& entry = this->entries.at(member);
+    if (!IsEligible(entry) || excluded.contains(member) ||
+        (entry.load.limit_per_second &&
+         !entry.throttle.Offer(options.rank, now, random))) {
       continue;
     }
     ++candidates;
     const Estimate estimate = EstimateOf(entry, lowest_mean_work_ns, now);
     const double transfer_ns =
         entry.target.distance == Distance::kOtherDataCentre
-            ? kOtherDataCentreNsPerByte * static_cast<double>(body_bytes)
+            ? kOtherDataCentreNsPerByte * static_cast<double>(options.body_bytes)
             : 0.0;
     const double jitter =
         kMaxJitterNs * static_cast<double>(random() % 1024) / 1024.0;
     const double cost =
         is_exploring ? jitter + static_cast<double>(estimate.wait.count())
                      : estimate.cost_ns + transfer_ns + jitter;
-    if (!best || cost < best_cost) {
+    const bool is_limited =
+        options.prefers_unlimited && entry.load.limit_per_second.has_value();
+    if (!best || std::pair(is_limited, cost) <
+                     std::pair(best_is_limited, best_cost)) {
       best = Choice{.member = member,
                     .instance = entry.target.instance,
                     .expected_wait = estimate.wait};
       best_cost = cost;
+      best_is_limited = is_limited;
     }
   }
   if (best) {
@@ -235,6 +279,16 @@
   return best;
 }
 
+bool TargetSelector::HasLimitedTarget(std::string_view service) const {
+  const auto members = this->members_by_service.find(service);
+  return members != this->members_by_service.end() &&
+         std::any_of(members->second.begin(), members->second.end(),
+                     [&](const std::string& member) {
+                       const Entry& entry = this->entries.at(member);
+                       return IsEligible(entry) && entry.load.limit_per_second;
+                     });
+}
+
 std::size_t TargetSelector::CountAcceptingTargets(
     std::string_view service) const {
   const auto members = this->members_by_service.find(service);
--- a/packages/daemon/include/lycheewell/daemon/events/event_catalogue.h
+++ b/packages/daemon/include/lycheewell/daemon/events/event_catalogue.h
@@ -76,6 +76,8 @@
   kTargetStateChanged = 7101,
   kAnnouncementRejected = 7102,
   kTargetUnreachable = 7103,
+  kTargetLimitChanged = 7104,
+  kTargetNoticeUnreadable = 7105,
 
   kPlanMade = 8001,
   kChangeConfirmed = 8002,
--- a/packages/sidecar/include/lycheewell/sidecar/hooks.h
+++ b/packages/sidecar/include/lycheewell/sidecar/hooks.h
@@ -45,6 +45,11 @@
   bool is_wrong_instance = false;
   // The body differs from the bytes that the target sent.
   bool is_transformed = false;
+  // Requests per second that the target takes from all daemons together, as
+  // long as its answers say so; not negative.
+  std::optional<double> limit_per_second;
+  // A limit is named, but cannot be read; the text, for the log.
+  std::optional<std::string> unreadable_limit;
   std::string header_lines;  // for the client
 
   bool operator==(const TargetAnswer&) const = default;
--- a/packages/sidecar/include/lycheewell/sidecar/requests/frontend.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/frontend.h
@@ -110,6 +110,8 @@
   // services, and counts it.
   bool AdmitByDemand(const PendingPointer& pending);
   void Dispatch(const PendingPointer& pending);
+  std::optional<core::routing::Choice> ChooseTarget(
+      const PendingPointer& pending, core::Instant now);
   void SendTo(const PendingPointer& pending,
               const core::routing::Choice& choice);
   void OnOutcome(const PendingPointer& pending, GateReply reply);
--- a/packages/sidecar/include/lycheewell/sidecar/requests/gate.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/gate.h
@@ -17,6 +17,7 @@
 
 #include "lycheewell/core/membership/target_starts.h"
 #include "lycheewell/core/overload/call_tracker.h"
+#include "lycheewell/core/overload/named_limit.h"
 #include "lycheewell/core/overload/slot_gate.h"
 #include "lycheewell/core/quarantine/crash_detector.h"
 #include "lycheewell/core/routing/failure_rate.h"
@@ -62,6 +63,8 @@
 
 // Reason for refusing a request that gets no slot of the target in time.
 inline constexpr std::string_view kNoSlot = "no slot in time";
+// Reason for refusing a request beyond the rate that the target takes.
+inline constexpr std::string_view kOverLimit = "over the target's limit";
 // Reason for refusing a request that has crashed targets.
 inline constexpr std::string_view kQuarantined = "it has crashed targets";
 
@@ -156,6 +159,7 @@
     bool is_running = false;
     bool is_abandoned = false;
     bool is_suspect = false;  // admitted as the target's only suspect
+    bool holds_limit_token = false;  // of the target's limit, not sent yet
   };
 
   // The end of a run whose connection broke. It is held back until it is known
@@ -181,6 +185,8 @@
   void Finish(Ticket ticket, http::ExchangeOutcome outcome);
   // Ends a run without an answer.
   void FinishBroken(Ticket ticket, const http::ExchangeProblem& problem);
+  // Takes what an answer to `call` says of the target itself.
+  void TakeNotices(const Call& call, const TargetAnswer& answer);
   // Finds out whether the target still takes connections.
   void CheckForCrash();
   // The target's process is gone or replaced; it has not announced that.
@@ -225,6 +231,7 @@
   std::optional<Ticket> suspect;  // the one that has its turn
   std::deque<Ticket> waiting_suspects;
   core::routing::FailureRate failures;
+  core::overload::NamedLimit limit;
 
   Announcement target;  // the latest announcement
   TargetState state = TargetState::kGone;
--- a/packages/sidecar/src/requests/frontend.cpp
+++ b/packages/sidecar/src/requests/frontend.cpp
@@ -110,7 +110,8 @@
   bool holds_token = false;   // of its account's rate
   int attempts = 0;           // sends that reached or may have reached a target
   int refusals = 0;           // answers that the request was not run
-  bool may_have_run = false;  // an attempt ended without an answer
+  bool was_over_limit = false;  // of a target
+  bool may_have_run = false;    // an attempt ended without an answer
   std::set<std::string> excluded;
   TimerQueue::Id timer = 0;
   // The current attempt.
@@ -357,11 +358,14 @@
     this->OnTimeout(pending);
     return;
   }
-  const auto choice = this->targets.Choose(
-      pending->service, pending->excluded, now, this->random,
-      pending->exchange->request().body().size());
+  const auto choice = this->ChooseTarget(pending, now);
   if (!choice) {
-    this->Refuse(pending, 503, "no target", kNotReadyRetryAfter);
+    const bool is_at_limit =
+        this->targets.HasLimitedTarget(pending->service);
+    this->Refuse(pending, 503, is_at_limit ? kOverLimit : "no target",
+                 is_at_limit ? FractionOfLatencyTarget(*pending->route,
+                                                       kNoSlotRetryFraction)
+                             : kNotReadyRetryAfter);
     return;
   }
   if (now + choice->expected_wait > pending->soft_deadline) {
@@ -374,6 +378,15 @@
   this->SendTo(pending, *choice);
 }
 
+std::optional<core::routing::Choice> Frontend::ChooseTarget(
+    const PendingPointer& pending, core::Instant now) {
+  return this->targets.Choose(
+      pending->service, pending->excluded, now, this->random,
+      {.rank = pending->rank,
+       .body_bytes = pending->exchange->request().body().size(),
+       .prefers_unlimited = pending->was_over_limit});
+}
+
 void Frontend::SendTo(const PendingPointer& pending,
                       const core::routing::Choice& choice) {
   const core::Instant now = Now();
@@ -458,7 +471,10 @@
       {.running = static_cast<int>(load.running()),
        .waiting = static_cast<int>(load.waiting()),
        .mean_work = std::chrono::microseconds(load.mean_work_us()),
-       .failed_fraction = load.failing_permille() / kPermille},
+       .failed_fraction = load.failing_permille() / kPermille,
+       .limit_per_second = load.has_limit_per_second()
+                               ? std::optional(load.limit_per_second())
+                               : std::nullopt},
       Now());
 }
 
@@ -553,6 +569,7 @@
   this->targets.RecordDone(pending->member);
   pending->call_id = 0;
   if (reply.outcome == Outcome::kAnswered) {
+    this->targets.RecordAdmitted(pending->member, pending->rank, now);
     if (reply.is_starved) {
       this->RecordStarvedCall(pending);
     }
@@ -581,6 +598,7 @@
     this->OnNotRun(pending, reply);
     return;
   }
+  this->targets.RecordAdmitted(pending->member, pending->rank, now);
   ++pending->attempts;
   pending->may_have_run = true;
   pending->excluded.insert(pending->member);
@@ -606,7 +624,13 @@
   const core::Instant now = Now();
   ++pending->refusals;
   pending->excluded.insert(pending->member);
-  this->targets.RecordRefusal(pending->member, reply.retry_after, now);
+  if (reply.reason == kOverLimit) {
+    pending->was_over_limit = true;
+    this->targets.RecordOverLimit(pending->member, pending->rank,
+                                  reply.retry_after, now);
+  } else {
+    this->targets.RecordRefusal(pending->member, reply.retry_after, now);
+  }
   // A refusal by the target itself counts as an attempt.
   const bool reached_target = reply.reason == "target refused";
   if (reached_target) {
@@ -619,14 +643,12 @@
                            this->BudgetOf(pending->service)
                                .Spend(this->options.mesh.daemon_count(), now)));
   const auto choice =
-      may_try_other_target
-          ? this->targets.Choose(pending->service, pending->excluded, now,
-                                 this->random,
-                                 pending->exchange->request().body().size())
-          : std::nullopt;
+      may_try_other_target ? this->ChooseTarget(pending, now) : std::nullopt;
   if (!choice || now + choice->expected_wait > pending->soft_deadline) {
+    // The backoff of a limited target is meant for daemons, not for clients.
     this->Refuse(pending, 503, reply.reason,
-                 std::max(reply.retry_after,
+                 std::max(reply.reason == kOverLimit ? core::Duration::zero()
+                                                     : reply.retry_after,
                           FractionOfLatencyTarget(*pending->route,
                                                   kNoSlotRetryFraction)));
     return;
@@ -720,7 +742,8 @@
          {"after_ms", MillisecondsText(now - pending->arrived_at)}});
   }
   this->options.counters.Count("requests_refused", reason);
-  if (reason == kNoSlot || reason == kNoSlotExpected) {
+  if (reason == kNoSlot || reason == kNoSlotExpected ||
+      reason == kOverLimit) {
     this->RecordStarvedCall(pending);
   }
   if (pending->holds_token) {
--- a/packages/sidecar/src/requests/gate.cpp
+++ b/packages/sidecar/src/requests/gate.cpp
@@ -203,6 +203,10 @@
 }
 
 void Gate::EraseCall(Ticket ticket) {
+  const auto found = this->calls.find(ticket);
+  if (found != this->calls.end() && found->second.holds_limit_token) {
+    this->limit.Return();
+  }
   this->calls.erase(ticket);
   if (this->suspect == ticket) {
     this->suspect.reset();
@@ -213,7 +217,13 @@
 
 void Gate::OfferSlot(Ticket ticket) {
   const core::Instant now = Now();
-  const GateCall& request = this->calls.at(ticket).request;
+  Call& call = this->calls.at(ticket);
+  const GateCall& request = call.request;
+  if (!this->limit.Admit(request.rank, now)) {
+    this->Refuse(ticket, kOverLimit, this->limit.refusal_backoff());
+    return;
+  }
+  call.holds_limit_token = true;
   const auto verdict =
       this->slots.Offer({.ticket = ticket,
                          .rank = request.rank,
@@ -285,6 +295,7 @@
   Call& call = this->calls.at(ticket);
   const core::Instant now = Now();
   call.is_running = true;
+  call.holds_limit_token = false;
   call.started_at = now;
   this->tracker.Begin(ticket, call.request.route,
                       now + std::chrono::floor<std::chrono::milliseconds>(
@@ -398,6 +409,7 @@
   bool is_sample = false;
   if (auto* response = std::get_if<io::http::Response>(&outcome)) {
     TargetAnswer answer = this->options.dialect.decode_answer(*response);
+    this->TakeNotices(call, answer);
     if (answer.has_not_run) {
       reply.reason =
           answer.is_wrong_instance ? "target was replaced" : "target refused";
@@ -540,7 +552,10 @@
 void Gate::Refuse(Ticket ticket, std::string_view reason,
                   core::Duration retry_after) {
   const GateCall& request = this->calls.at(ticket).request;
-  if (reason == kNoSlot && !request.was_refused) {
+  // Work beyond a limit has found no room only if another target has refused it
+  // as well.
+  if ((reason == kNoSlot && !request.was_refused) ||
+      (reason == kOverLimit && request.was_refused)) {
     this->work_of_origin[request.origin].unmet +=
         this->MeanWorkOf(request.route);
   }
@@ -725,6 +740,7 @@
     this->crash_detector.Reset();
     this->slots.ResetMeanWork();
     this->failures.Reset();
+    this->limit.Reset();
   }
   this->announced_at = now;
   this->cold_until = now + announcement.cold_for;
@@ -769,6 +785,9 @@
   constexpr double kPermille = 1000.0;
   load.set_failing_permille(
       static_cast<std::uint32_t>(kPermille * this->failures.Fraction(Now())));
+  if (const auto per_second = this->limit.per_second()) {
+    load.set_limit_per_second(*per_second);
+  }
   return load;
 }
 
--- a/tests/harness/working_target.cpp
+++ b/tests/harness/working_target.cpp
@@ -157,7 +157,7 @@
   }
   SendAll(connection,
           "HTTP/1.1 200 OK\r\nRequest-Id: " + HeaderOf(head, "Request-Id") +
-              "\r\nResponse-Signature: signed\r\n" + this->header_lines +
+              "\r\nResponse-Signature: signed\r\n" + this->HeaderLines() +
               "Content-Length: 4\r\n\r\ndone");
   return true;
 }
--- a/tests/harness/working_target.h
+++ b/tests/harness/working_target.h
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -19,8 +20,12 @@
   WorkingTarget(const WorkingTarget&) = delete;
   WorkingTarget& operator=(const WorkingTarget&) = delete;
 
-  // Header lines of every answer, before the first request comes.
-  std::string header_lines;
+  // Header lines of every answer from now on.
+  void SetHeaderLines(const std::string& lines) {
+    const std::lock_guard lock(this->mutex);
+    this->header_lines = lines;
+  }
+
   // How long a request is worked on before it is answered; a negative time
   // means that it never is.
   std::atomic<int> work_ms = -1;
@@ -41,7 +46,14 @@
   bool Work(int connection, const std::string& head);
   int Call(const std::string& head) const;
 
+  std::string HeaderLines() {
+    const std::lock_guard lock(this->mutex);
+    return this->header_lines;
+  }
+
   int listener = -1;
+  std::mutex mutex;
+  std::string header_lines;
   std::atomic<int> arrived = 0;
   std::atomic<int> working = 0;
   std::atomic<bool> has_ended = false;
--- a/tests/platform/adapter_test.cpp
+++ b/tests/platform/adapter_test.cpp
@@ -114,6 +114,40 @@
   }
 }
 
+TEST_CASE("A target's response names the rate that it takes", "[platform]") {
+  const auto dialect = platform::MakeDialect();
+  Response response(io::http::Status::ok, 11);
+  const auto decode = [&](const std::string& text) {
+    response.set("Server-Limit", text);
+    return dialect.decode_answer(response);
+  };
+
+  SECTION("as a decimal number") {
+    CHECK(decode("32.7").limit_per_second == 32.7);
+    CHECK(decode("0.25").limit_per_second == 0.25);
+    CHECK(decode("0").limit_per_second == 0.0);
+    CHECK(decode(" 12 ").limit_per_second == 12.0);
+    CHECK_FALSE(decode("32.7").unreadable_limit);
+  }
+  SECTION("or not at all") {
+    CHECK_FALSE(dialect.decode_answer(response).limit_per_second);
+    CHECK_FALSE(dialect.decode_answer(response).unreadable_limit);
+  }
+  SECTION("or unreadably") {
+    for (const std::string text :
+         {"", "many", "-1", "3,5", "1e3", "nan", "inf", "12/s", "0x10"}) {
+      CHECK_FALSE(decode(text).limit_per_second);
+      CHECK(decode(text).unreadable_limit == text);
+    }
+  }
+  SECTION("more than once, and the lowest counts") {
+    response.insert("Server-Limit", "40");
+    response.insert("Server-Limit", "7.5");
+    response.insert("Server-Limit", "x");
+    CHECK(dialect.decode_answer(response).limit_per_second == 7.5);
+  }
+}
+
 TEST_CASE("Announcements are accepted only if all required fields are valid",
           "[platform]") {
   const auto dialect = platform::MakeDialect();
--- /dev/null
+++ b/tests/sidecar/limited_target_test.cpp
@@ -0,0 +1,125 @@
+// A target in need names the request rate that it takes.
+#include <signal.h>
+
+#include <catch2/catch.hpp>
+#include <thread>
+
+#include "harness/sidecar_vm.h"
+#include "harness/working_target.h"
+
+namespace {
+using namespace lycheewell;
+using harness::Eventually;
+using harness::kFirstSidecarPort;
+using harness::SidecarManifest;
+using harness::Store;
+using harness::WorkingTarget;
+using Vm = harness::SidecarVm;
+using io::http::Verb;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using std::chrono::steady_clock;
+
+constexpr double kLimit = 3;
+constexpr seconds kWindow{4};
+// What a target with the limit accepts in the window.
+constexpr int kAllowed = static_cast<int>(1.5 * 4 * kLimit + 5);
+constexpr int kWorkMs = 5;
+
+// Two VMs with a target each. The second one's names a limit at once.
+struct Fixture {
+  Store store{kFirstSidecarPort};
+  Vm first{0};
+  Vm second{1};
+  std::optional<WorkingTarget> free;
+  std::optional<WorkingTarget> limited;
+  int reports = 0;
+
+  Fixture() {
+    signal(SIGPIPE, SIG_IGN);
+    this->store.PutManifest(SidecarManifest(1, R"("k1")"));
+    this->first.target.reset();
+    this->second.target.reset();
+    this->free.emplace(this->first.base_port + 3);
+    this->limited.emplace(this->second.base_port + 3);
+    this->free->work_ms = kWorkMs;
+    this->limited->work_ms = kWorkMs;
+    this->limited->SetHeaderLines("Server-Limit: 3.0\r\n");
+    REQUIRE(Eventually(
+        [&] { return this->first.IsReady() && this->second.IsReady(); }));
+    this->Announce(this->second);
+  }
+
+  void Announce(Vm& vm) {
+    REQUIRE(vm.AnnounceAs(1, ++this->reports, "ready") == 200);
+    std::this_thread::sleep_for(milliseconds(100));
+  }
+
+  struct Tally {
+    int answered = 0;
+    int refused = 0;
+    int other = 0;
+    int at_limited = 0;
+  };
+
+  // Sends requests at both daemons for the window, many more than the limit.
+  Tally Load() {
+    Tally tally;
+    const int before = this->limited->arrivals();
+    const auto end = steady_clock::now() + kWindow;
+    for (int i = 0; steady_clock::now() < end; ++i) {
+      Vm& vm = i % 2 == 0 ? this->first : this->second;
+      const unsigned status =
+          vm.Call("/pay/" + std::to_string(i), "k1", Verb::put).status;
+      ++(status == 200 ? tally.answered
+                       : status == 503 ? tally.refused : tally.other);
+      std::this_thread::sleep_for(milliseconds(15));
+    }
+    tally.at_limited = this->limited->arrivals() - before;
+    return tally;
+  }
+};
+
+}  // namespace
+
+// Guards against targets that get far more requests than they have asked for.
+TEST_CASE("A target gets no more requests than its limit allows",
+          "[sidecar][limit]") {
+  Fixture fixture;
+
+  SECTION("and the others of its service take the rest") {
+    fixture.Announce(fixture.first);
+    fixture.Load();
+    fixture.Announce(fixture.first);
+    fixture.Announce(fixture.second);
+    const Fixture::Tally tally = fixture.Load();
+    CHECK(tally.at_limited <= kAllowed);
+    CHECK(tally.at_limited > 0);
+    CAPTURE(tally.refused, tally.other, tally.answered, tally.at_limited);
+    CHECK(tally.refused + tally.other == 0);
+  }
+  SECTION("and the rest is refused at once if there is no other") {
+    fixture.Load();
+    fixture.Announce(fixture.second);
+    const Fixture::Tally tally = fixture.Load();
+    CHECK(tally.at_limited <= kAllowed);
+    CHECK(tally.answered >= 0.7 * kLimit * kWindow.count());
+    CHECK(tally.refused > tally.answered);
+    CHECK(tally.other == 0);
+
+    SECTION("until its answers name none any more") {
+      fixture.limited->SetHeaderLines("");
+      fixture.Announce(fixture.second);
+      CHECK(Eventually([&] {
+        return fixture.second.Log().rfind("per_second=none") !=
+               std::string::npos || (fixture.first.Call("/pay/1"), false);
+      }));
+      CHECK(fixture.Load().refused == 0);
+    }
+    SECTION("also if its header becomes unreadable") {
+      fixture.limited->SetHeaderLines("Server-Limit: few\r\n");
+      fixture.Announce(fixture.second);
+      CHECK(fixture.Load().at_limited <= kAllowed);
+    }
+  }
+}
