Limits of targets outlive the daemon beside the target

What callers saw: none of them anything; a target whose daemon restarted got all requests of the other VMs at once until its first answer came. Cause: the limit was known to the daemon beside the target only. Change: peers remember the limit with the start of the target that named it, and tell a restarted daemon in the first message of a link; an answer of the target goes before what they remember.

--- a/packages/sidecar/include/lycheewell/sidecar/requests/gate.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/gate.h
@@ -125,6 +125,9 @@
   // Records that `start` has left, as peers or the store remember.
   void Retire(const core::DaemonRef& start);
 
+  // Records that `start` had named a limit, as peers remember.
+  void RecallLimit(const core::DaemonRef& start, double per_second);
+
   // Refuses new work because this daemon stops.
   void BeginDrain();
 
@@ -187,6 +190,7 @@
   void FinishBroken(Ticket ticket, const http::ExchangeProblem& problem);
   // Takes what an answer to `call` says of the target itself.
   void TakeNotices(const Call& call, const TargetAnswer& answer);
+  void OnLimitChange(bool was_limited);
   // Finds out whether the target still takes connections.
   void CheckForCrash();
   // The target's process is gone or replaced; it has not announced that.
@@ -232,6 +236,8 @@
   std::deque<Ticket> waiting_suspects;
   core::routing::FailureRate failures;
   core::overload::NamedLimit limit;
+  // Limits of starts that have not announced themselves yet, as peers remember.
+  std::map<std::string, double> recalled_limits;  // by the start's name
 
   Announcement target;  // the latest announcement
   TargetState state = TargetState::kGone;
--- a/packages/sidecar/src/requests/gate.cpp
+++ b/packages/sidecar/src/requests/gate.cpp
@@ -741,6 +741,12 @@
     this->slots.ResetMeanWork();
     this->failures.Reset();
     this->limit.Reset();
+    const auto recalled =
+        this->recalled_limits.find(StartName(this->starts.current()));
+    if (recalled != this->recalled_limits.end()) {
+      this->RecallLimit(this->starts.current(), recalled->second);
+      this->recalled_limits.clear();
+    }
   }
   this->announced_at = now;
   this->cold_until = now + announcement.cold_for;
--- a/packages/sidecar/src/requests/target_notices.cpp
+++ b/packages/sidecar/src/requests/target_notices.cpp
@@ -1,4 +1,5 @@
 // What targets say of themselves in their answers.
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <string>
 
@@ -8,6 +9,13 @@
 namespace lycheewell::sidecar::requests {
 using daemon::events::Event;
 
+namespace {
+
+// Starts of the target whose limits are kept until they announce themselves.
+constexpr std::size_t kMaxRecalledLimits = 16;
+
+}  // namespace
+
 void Gate::TakeNotices(const Call& call, const TargetAnswer& answer) {
   if (answer.is_wrong_instance ||
       call.request.instance != this->target.instance) {
@@ -25,6 +33,10 @@
   if (!this->limit.OnAnswer(answer.limit_per_second, call.started_at, Now())) {
     return;
   }
+  this->OnLimitChange(was_limited);
+}
+
+void Gate::OnLimitChange(bool was_limited) {
   const auto per_second = this->limit.per_second();
   this->log.Write(
       Event::kTargetLimitChanged,
@@ -39,4 +51,20 @@
   });
 }
 
+void Gate::RecallLimit(const core::DaemonRef& start, double per_second) {
+  if (!(this->starts.current() == start)) {
+    const auto [found, is_new] =
+        this->recalled_limits.try_emplace(StartName(start), per_second);
+    found->second = std::min(found->second, per_second);
+    if (this->recalled_limits.size() > kMaxRecalledLimits) {
+      this->recalled_limits.erase(this->recalled_limits.begin());
+    }
+    return;
+  }
+  const bool was_limited = this->limit.per_second().has_value();
+  if (this->limit.Recall(per_second, Now())) {
+    this->OnLimitChange(was_limited);
+  }
+}
+
 }  // namespace lycheewell::sidecar::requests
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -1,6 +1,7 @@
 #include "lycheewell/sidecar/sidecar.h"
 
 #include <boost/asio/signal_set.hpp>
+#include <cmath>
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
@@ -8,6 +9,7 @@
 
 #include "lycheewell/core/membership/retired_starts.h"
 #include "lycheewell/core/overload/demand_sums.h"
+#include "lycheewell/core/overload/known_limits.h"
 #include "lycheewell/io/http/address.h"
 #include "lycheewell/sidecar/clock.h"
 #include "lycheewell/sidecar/counters.h"
@@ -283,6 +285,11 @@
                    this->retired_starts.StartsBeside(receiver)) {
                 hello.add_retired_starts(start);
               }
+              if (const auto known = this->known_limits.LimitBeside(receiver)) {
+                hello.mutable_target_limit()->set_start(
+                    requests::StartName(known->start));
+                hello.mutable_target_limit()->set_per_second(known->per_second);
+              }
               if (!receiver.empty()) {
                 this->quarantine.Describe(*hello.mutable_crash_marks());
               }
@@ -293,6 +300,9 @@
                 this->RetireOwn(start);
               }
               this->quarantine.Apply(hello.crash_marks());
+              if (hello.has_target_limit()) {
+                this->RecallLimit(hello.target_limit());
+              }
               if (hello.manifest_version() > this->manifest.version()) {
                 this->RequestManifest(hello.self().name());
               }
@@ -325,6 +335,17 @@
     }
   }
 
+  void RecallLimit(const mesh::TargetLimit& known) {
+    const auto start = requests::ParseStartName(known.start());
+    if (start && std::isfinite(known.per_second()) && known.per_second() >= 0) {
+      this->gate.RecallLimit(*start, known.per_second());
+    } else {
+      this->log.Write(
+          Event::kBadPeerMessage,
+          {{"reason", "malformed limit of a target"}, {"name", known.start()}});
+    }
+  }
+
   // Takes over what daemons knew before a restart.
   void OnRecord(const records::RecordKey& key, const std::string& value) {
     this->own_records.Recall(key);
@@ -396,6 +417,8 @@
       this->retired_starts.Record(
           member, target.instance() + "@" + std::to_string(target.born_ms()));
     }
+    this->known_limits.RecordStart(
+        member, {.id = target.instance(), .incarnation = target.born_ms()});
     Distance distance = Distance::kSameVm;
     if (member != this->options.settings.name) {
       distance = this->mesh.data_centre_of(member) ==
@@ -421,6 +444,10 @@
 
   void ReportLoad(const std::string& member, const mesh::Load& load) {
     this->front.ReportLoad(member, load);
+    this->known_limits.RecordLimit(
+        member, load.has_limit_per_second()
+                    ? std::optional(load.limit_per_second())
+                    : std::nullopt);
   }
 
   void OnTargetChange() {
@@ -898,6 +925,7 @@
   // Keeps a target that has left from getting work again after its daemon
   // restarts: this daemon tells the restarted one in its Hello.
   core::membership::RetiredStarts retired_starts;
+  core::overload::KnownLimits known_limits;
   core::Instant manifest_requested_at;
   std::map<std::string, LocalDemand> local_demand;  // by route
   core::overload::DemandSums data_centre_demand;
--- a/tests/harness/sidecar_vm.h
+++ b/tests/harness/sidecar_vm.h
@@ -100,7 +100,8 @@
   // The current start of the target announces itself; returns the status.
   unsigned Announce(const std::string& state);
   // Any start of it does.
-  unsigned AnnounceAs(int born, int report, const std::string& state);
+  unsigned AnnounceAs(int born, int report, const std::string& state,
+                      int slots = 4);
   unsigned Deregister();
   Reply Call(const std::string& target, const std::string& key = "k1",
              io::http::Verb verb = io::http::Verb::post);
--- a/tests/sidecar/limited_target_test.cpp
+++ b/tests/sidecar/limited_target_test.cpp
@@ -2,7 +2,9 @@
 #include <signal.h>
 
 #include <catch2/catch.hpp>
+#include <future>
 #include <thread>
+#include <vector>
 
 #include "harness/sidecar_vm.h"
 #include "harness/working_target.h"
@@ -25,6 +27,7 @@
 // What a target with the limit accepts in the window.
 constexpr int kAllowed = static_cast<int>(1.5 * 4 * kLimit + 5);
 constexpr int kWorkMs = 5;
+constexpr int kSlots = 60;
 
 // Two VMs with a target each. The second one's names a limit at once.
 struct Fixture {
@@ -51,7 +54,7 @@
   }
 
   void Announce(Vm& vm) {
-    REQUIRE(vm.AnnounceAs(1, ++this->reports, "ready") == 200);
+    REQUIRE(vm.AnnounceAs(1, ++this->reports, "ready", kSlots) == 200);
     std::this_thread::sleep_for(milliseconds(100));
   }
 
@@ -80,6 +83,12 @@
   }
 };
 
+void Restart(Vm& vm) {
+  vm.process->Kill();
+  vm.Start();
+  REQUIRE(Eventually([&] { return vm.IsReady(); }, seconds(10)));
+}
+
 }  // namespace
 
 // Guards against targets that get far more requests than they have asked for.
@@ -123,3 +132,54 @@
     }
   }
 }
+
+// Guards against a daemon that forgets the limit of its target when it
+// restarts, while requests come from other VMs.
+TEST_CASE("A limit outlives the daemon beside its target",
+          "[sidecar][limit]") {
+  Fixture fixture;
+  fixture.Announce(fixture.second);
+  fixture.Load();
+  fixture.limited->work_ms = 1000;
+  const auto send_all = [&] {
+    const int before = fixture.limited->arrivals();
+    std::vector<std::future<unsigned>> calls;
+    calls.reserve(kSlots);
+    for (int i = 0; i < kSlots; ++i) {
+      calls.push_back(std::async(std::launch::async, [&fixture] {
+        return fixture.first.Call("/look/1", "k1", Verb::get).status;
+      }));
+    }
+    for (auto& call : calls) {
+      call.wait();
+    }
+    return fixture.limited->arrivals() - before;
+  };
+
+  SECTION("after a restart") {
+    Restart(fixture.second);
+    fixture.Announce(fixture.second);
+    // No request in between: its answer would name the limit again.
+    std::this_thread::sleep_for(milliseconds(1500));
+    const int arrivals = send_all();
+    CHECK(arrivals > 0);
+    CHECK(arrivals <= kAllowed);
+  }
+  SECTION("but not the start of the target that named it") {
+    Restart(fixture.second);
+    fixture.limited->SetHeaderLines("");
+    REQUIRE(fixture.second.AnnounceAs(2, 1, "ready", kSlots) == 200);
+    std::this_thread::sleep_for(milliseconds(300));
+    CHECK(send_all() == kSlots);
+  }
+  SECTION("and ends with the first answer that names none") {
+    Restart(fixture.second);
+    fixture.limited->SetHeaderLines("");
+    fixture.Announce(fixture.second);
+    REQUIRE(Eventually([&] {
+      return fixture.first.Call("/look/1", "k1", Verb::get).status == 200;
+    }));
+    std::this_thread::sleep_for(milliseconds(300));
+    CHECK(send_all() == kSlots);
+  }
+}
