Departures: a target's answer that says it leaves counts like its report

What callers saw: a target that had said in its answers that it leaves, before or without a report, went on getting requests. Cause: nothing read the header. Change: the gate retires the start that answered, as after a report; peers hear of it before they get the answer, and the store keeps it, so that the departure outlives restarts. Answers of another instance or of an earlier start say nothing. Evidence: the test "A target that leaves according to its answers gets no more work" (its own sidecar or all of them restart, it reports that it is ready, its next start).

--- a/packages/sidecar/include/lycheewell/sidecar/hooks.h
+++ b/packages/sidecar/include/lycheewell/sidecar/hooks.h
@@ -45,6 +45,8 @@
   bool is_wrong_instance = false;
   // The body differs from the bytes that the target sent.
   bool is_transformed = false;
+  // The target leaves: it wants no more requests.
+  bool is_leaving = false;
   // Requests per second that the target takes from all daemons together, as
   // long as its answers say so; not negative.
   std::optional<double> limit_per_second;
--- a/packages/sidecar/include/lycheewell/sidecar/requests/gate.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/gate.h
@@ -92,6 +92,8 @@
     const DialectHooks& dialect;
     // Called when the target's state has changed.
     std::function<void()> on_change;
+    // Called when an answer of the target has said that `start` leaves.
+    std::function<void(const core::DaemonRef& start)> on_departure;
     // When a call made by the target last got no slot.
     std::function<core::Instant()> last_starved_call;
     // When a call made by the target last failed for any reason.
@@ -158,6 +160,7 @@
     std::unique_ptr<http::BodyAllowance> body_allowance;
     std::shared_ptr<http::ClientConnection> connection;
     core::Instant started_at;
+    core::DaemonRef start;  // of the target, when the run began
     TimerQueue::Id timer = 0;
     bool is_running = false;
     bool is_abandoned = false;
@@ -190,6 +193,8 @@
   void FinishBroken(Ticket ticket, const http::ExchangeProblem& problem);
   // Takes what an answer to `call` says of the target itself.
   void TakeNotices(const Call& call, const TargetAnswer& answer);
+  void TakeLimit(const Call& call, const TargetAnswer& answer);
+  void TakeDeparture(const Call& call);
   void OnLimitChange(bool was_limited);
   // Finds out whether the target still takes connections.
   void CheckForCrash();
--- a/packages/sidecar/src/requests/gate.cpp
+++ b/packages/sidecar/src/requests/gate.cpp
@@ -297,6 +297,7 @@
   call.is_running = true;
   call.holds_limit_token = false;
   call.started_at = now;
+  call.start = this->starts.current();
   this->tracker.Begin(ticket, call.request.route,
                       now + std::chrono::floor<std::chrono::milliseconds>(
                                 call.request.deadline - now));
--- a/packages/sidecar/src/requests/target_notices.cpp
+++ b/packages/sidecar/src/requests/target_notices.cpp
@@ -1,6 +1,5 @@
 // What targets say of themselves in their answers.
 #include <algorithm>
-#include <boost/asio/post.hpp>
 #include <string>
 
 #include "lycheewell/sidecar/clock.h"
@@ -17,10 +16,29 @@
 }  // namespace
 
 void Gate::TakeNotices(const Call& call, const TargetAnswer& answer) {
-  if (answer.is_wrong_instance ||
-      call.request.instance != this->target.instance) {
-    return;  // it speaks for another target
+  if (answer.is_wrong_instance || !(call.start == this->starts.current())) {
+    return;  // it speaks for another start
   }
+  if (answer.is_leaving) {
+    this->TakeDeparture(call);
+  }
+  this->TakeLimit(call, answer);
+}
+
+void Gate::TakeDeparture(const Call& call) {
+  if (this->starts.is_retired(call.start)) {
+    return;
+  }
+  this->starts.Retire(call.start);
+  // Peers hear of it before they get the answer, so that they remember it even
+  // if this daemon ends now.
+  if (this->state == TargetState::kTakesWork) {
+    this->SetState(TargetState::kLeaving, "an answer says that it leaves");
+  }
+  this->options.on_departure(call.start);
+}
+
+void Gate::TakeLimit(const Call& call, const TargetAnswer& answer) {
   if (answer.unreadable_limit) {
     this->log.Write(Event::kTargetNoticeUnreadable,
                     {{"instance", call.request.instance},
@@ -42,13 +60,11 @@
       Event::kTargetLimitChanged,
       {{"instance", this->target.instance},
        {"per_second", per_second ? std::to_string(*per_second) : "none"}});
-  boost::asio::post(this->context, [this, was_limited] {
-    this->options.on_change();
-    if (!was_limited && this->limit.per_second()) {
-      // They were admitted by slots alone and may go to other targets.
-      this->RefuseWaiting(kOverLimit);
-    }
-  });
+  this->options.on_change();
+  if (!was_limited && per_second) {
+    // They were admitted by slots alone and may go to other targets.
+    this->RefuseWaiting(kOverLimit);
+  }
 }
 
 void Gate::RecallLimit(const core::DaemonRef& start, double per_second) {
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -127,6 +127,10 @@
              {.settings = this->options.settings,
               .dialect = this->options.dialect,
               .on_change = [this] { this->OnTargetChange(); },
+              .on_departure =
+                  [this](const core::DaemonRef& start) {
+                    this->departures.Store(requests::StartName(start), [] {});
+                  },
               .last_starved_call =
                   [this] { return this->front.last_starved_call(); },
               .last_failed_call =
--- a/tests/platform/adapter_test.cpp
+++ b/tests/platform/adapter_test.cpp
@@ -148,6 +148,18 @@
   }
 }
 
+TEST_CASE("A target's response says that it leaves", "[platform]") {
+  const auto dialect = platform::MakeDialect();
+  Response response(io::http::Status::ok, 11);
+  CHECK_FALSE(dialect.decode_answer(response).is_leaving);
+  response.set("Server-Leaving", "1");
+  CHECK(dialect.decode_answer(response).is_leaving);
+  for (const std::string other : {"0", "", "yes", "11"}) {
+    response.set("Server-Leaving", other);
+    CHECK_FALSE(dialect.decode_answer(response).is_leaving);
+  }
+}
+
 TEST_CASE("Announcements are accepted only if all required fields are valid",
           "[platform]") {
   const auto dialect = platform::MakeDialect();
--- a/tests/sidecar/departure_test.cpp
+++ b/tests/sidecar/departure_test.cpp
@@ -5,6 +5,7 @@
 #include <thread>
 
 #include "harness/sidecar_vm.h"
+#include "harness/working_target.h"
 #include "lycheewell/sidecar/records/departures.h"
 
 namespace {
@@ -14,6 +15,7 @@
 using harness::SidecarManifest;
 using harness::Store;
 using harness::StoreFault;
+using harness::WorkingTarget;
 using Vm = harness::SidecarVm;
 using io::http::Verb;
 using sidecar::records::Departures;
@@ -115,6 +117,75 @@
   }
 }
 
+// Guards against requests to a target that has said in an answer, not in a
+// report, that it leaves.
+TEST_CASE("A target that leaves according to its answers gets no more work",
+          "[sidecar][departure]") {
+  signal(SIGPIPE, SIG_IGN);
+  Store store(kFirstSidecarPort);
+  store.PutManifest(SidecarManifest(1, R"("k1")"));
+  Vm first(0);
+  Vm second(1);
+  first.target.reset();
+  second.target.reset();
+  WorkingTarget staying(first.base_port + 3);
+  WorkingTarget leaving(second.base_port + 3);
+  staying.work_ms = 5;
+  leaving.work_ms = 5;
+  REQUIRE(Eventually([&] { return first.IsReady() && second.IsReady(); }));
+  int reports = 0;
+  const auto announce = [&](Vm& vm, int born) {
+    REQUIRE(vm.AnnounceAs(born, ++reports, "ready") == 200);
+    std::this_thread::sleep_for(milliseconds(200));
+  };
+  announce(first, 1);
+  announce(second, 1);
+  const auto arrivals = [&] {
+    const int before = leaving.arrivals();
+    for (int i = 0; i < 20; ++i) {
+      CHECK(first.Call("/pay/1").status == 200);
+      CHECK(second.Call("/pay/1").status == 200);
+    }
+    return leaving.arrivals() - before;
+  };
+
+  SECTION("nothing is said") { CHECK(arrivals() > 0); }
+  SECTION("another value does not mean it") {
+    leaving.SetHeaderLines("Server-Leaving: 0\r\n");
+    REQUIRE(arrivals() > 0);
+    CHECK(arrivals() > 0);
+  }
+  SECTION("from the first such answer on") {
+    leaving.SetHeaderLines("Server-Leaving: 1\r\n");
+    REQUIRE(arrivals() == 1);
+    CHECK(arrivals() == 0);
+
+    SECTION("although it reports that it is ready") {
+      announce(second, 1);
+      CHECK(arrivals() == 0);
+    }
+    SECTION("also after its sidecar restarts") {
+      Restart(second);
+      announce(second, 1);
+      CHECK(arrivals() == 0);
+    }
+    SECTION("also after all sidecars restart") {
+      first.process->Kill();
+      Restart(second);
+      Restart(first);
+      announce(first, 1);
+      announce(second, 1);
+      CHECK(arrivals() == 0);
+    }
+    SECTION("but its next start does") {
+      leaving.SetHeaderLines("");
+      reports = 0;
+      announce(second, 2);
+      CHECK(arrivals() > 0);
+    }
+  }
+}
+
 // Guards against a target whose reports, its departure among them, were
 // acknowledged and ignored after a late report of its earlier start.
 TEST_CASE("A late report of an earlier start does not hide the current one",
