--- a/packages/core/src/overload/named_limit.cpp
+++ b/packages/core/src/overload/named_limit.cpp
@@ -48,8 +48,7 @@
 void NamedLimit::Refill(Instant now) {
   const double elapsed = std::max(0.0, Seconds(now - this->refilled_at));
   this->refilled_at = now;
-  this->tokens =
-      std::min(this->Burst(), this->tokens + elapsed * this->Rate());
+  this->tokens = std::min(this->Burst(), this->tokens + elapsed * this->Rate());
 }
 
 bool NamedLimit::Set(std::optional<double> per_second, Instant now) {
@@ -102,8 +101,7 @@
     return now - entry.second.seen_at > kRankLifetime;
   });
   this->ranks[rank].seen_at = now;
-  const int kept_for_passed_over =
-      static_cast<int>(kHighestRankInterval) - 1;
+  const int kept_for_passed_over = static_cast<int>(kHighestRankInterval) - 1;
   if (this->ranks[rank].passed_over >= kept_for_passed_over) {
     return 1;
   }
--- a/packages/core/src/routing/target_selector.cpp
+++ b/packages/core/src/routing/target_selector.cpp
@@ -255,7 +255,8 @@
     const Estimate estimate = EstimateOf(entry, lowest_mean_work_ns, now);
     const double transfer_ns =
         entry.target.distance == Distance::kOtherDataCentre
-            ? kOtherDataCentreNsPerByte * static_cast<double>(options.body_bytes)
+            ? kOtherDataCentreNsPerByte *
+                  static_cast<double>(options.body_bytes)
             : 0.0;
     const double jitter =
         kMaxJitterNs * static_cast<double>(random() % 1024) / 1024.0;
@@ -264,8 +265,8 @@
                      : estimate.cost_ns + transfer_ns + jitter;
     const bool is_limited =
         options.prefers_unlimited && entry.load.limit_per_second.has_value();
-    if (!best || std::pair(is_limited, cost) <
-                     std::pair(best_is_limited, best_cost)) {
+    if (!best ||
+        std::pair(is_limited, cost) < std::pair(best_is_limited, best_cost)) {
       best = Choice{.member = member,
                     .instance = entry.target.instance,
                     .expected_wait = estimate.wait};
--- a/packages/sidecar/include/lycheewell/sidecar/requests/gate.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/gate.h
@@ -164,7 +164,7 @@
     TimerQueue::Id timer = 0;
     bool is_running = false;
     bool is_abandoned = false;
-    bool is_suspect = false;  // admitted as the target's only suspect
+    bool is_suspect = false;         // admitted as the target's only suspect
     bool holds_limit_token = false;  // of the target's limit, not sent yet
   };
 
--- a/packages/sidecar/src/http/server.cpp
+++ b/packages/sidecar/src/http/server.cpp
@@ -153,9 +153,9 @@
   core::Duration BodyTimeout() const {
     core::Duration limit = kBodyTimeout;
     if (this->server.options.time_limit) {
-      limit = std::min(limit,
-                       this->server.options.time_limit(this->parser->get()) -
-                           (Now() - this->began_at));
+      limit =
+          std::min(limit, this->server.options.time_limit(this->parser->get()) -
+                              (Now() - this->began_at));
     }
     return std::max(core::Duration::zero(), limit);
   }
@@ -333,8 +333,8 @@
   beast::flat_buffer buffer;
   std::optional<Parser> parser;
   std::unique_ptr<BodyAllowance> body_allowance;  // of the request being read
-  core::Instant read_at;   // of the last bytes
-  core::Instant began_at;  // of the request being read
+  core::Instant read_at;                          // of the last bytes
+  core::Instant began_at;                         // of the request being read
   ExchangePointer exchange;
   TimerQueue::Id timer = 0;
   bool reading = false;
--- a/packages/sidecar/src/requests/frontend.cpp
+++ b/packages/sidecar/src/requests/frontend.cpp
@@ -107,9 +107,9 @@
   core::Instant deadline;
   core::Instant soft_deadline;
   int rank = 0;
-  bool holds_token = false;   // of its account's rate
-  int attempts = 0;           // sends that reached or may have reached a target
-  int refusals = 0;           // answers that the request was not run
+  bool holds_token = false;  // of its account's rate
+  int attempts = 0;          // sends that reached or may have reached a target
+  int refusals = 0;          // answers that the request was not run
   bool was_over_limit = false;  // of a target
   bool may_have_run = false;    // an attempt ended without an answer
   std::set<std::string> excluded;
@@ -159,10 +159,10 @@
   if (request == nullptr) {
     return kDefaultTimeLimit;  // refused for that when it has arrived
   }
-  return TimeLimitOf(*request,
-                     table ? table->FindRoute(request->host,
-                                              PathOf(request->path_and_query))
-                           : nullptr);
+  return TimeLimitOf(
+      *request,
+      table ? table->FindRoute(request->host, PathOf(request->path_and_query))
+            : nullptr);
 }
 
 void Frontend::Serve(http::ExchangePointer exchange) {
@@ -360,8 +360,7 @@
   }
   const auto choice = this->ChooseTarget(pending, now);
   if (!choice) {
-    const bool is_at_limit =
-        this->targets.HasLimitedTarget(pending->service);
+    const bool is_at_limit = this->targets.HasLimitedTarget(pending->service);
     this->Refuse(pending, 503, is_at_limit ? kOverLimit : "no target",
                  is_at_limit ? FractionOfLatencyTarget(*pending->route,
                                                        kNoSlotRetryFraction)
@@ -742,8 +741,7 @@
          {"after_ms", MillisecondsText(now - pending->arrived_at)}});
   }
   this->options.counters.Count("requests_refused", reason);
-  if (reason == kNoSlot || reason == kNoSlotExpected ||
-      reason == kOverLimit) {
+  if (reason == kNoSlot || reason == kNoSlotExpected || reason == kOverLimit) {
     this->RecordStarvedCall(pending);
   }
   if (pending->holds_token) {
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -145,9 +145,7 @@
                .gate = this->gate,
                .quarantine = this->quarantine,
                .counters = this->counters}),
-        client_server(
-            this->context, this->timers,
-            this->ClientServerOptions()),
+        client_server(this->context, this->timers, this->ClientServerOptions()),
         announcement_server(
             this->context, this->timers,
             this->ServerFor(this->options.settings.announcements_address,
@@ -217,11 +215,11 @@
   }
 
   http::ServerOptions ClientServerOptions() {
-    http::ServerOptions server = this->ServerFor(
-        this->options.settings.clients_address,
-        [this](const http::ExchangePointer& exchange) {
-          this->front.Serve(exchange);
-        });
+    http::ServerOptions server =
+        this->ServerFor(this->options.settings.clients_address,
+                        [this](const http::ExchangePointer& exchange) {
+                          this->front.Serve(exchange);
+                        });
     server.is_behind = [this] { return this->loop_monitor.is_behind(); };
     server.time_limit = [this](const io::http::Request& head) {
       return this->front.TimeLimitOf(head);
@@ -448,10 +446,10 @@
 
   void ReportLoad(const std::string& member, const mesh::Load& load) {
     this->front.ReportLoad(member, load);
-    this->known_limits.RecordLimit(
-        member, load.has_limit_per_second()
-                    ? std::optional(load.limit_per_second())
-                    : std::nullopt);
+    this->known_limits.RecordLimit(member,
+                                   load.has_limit_per_second()
+                                       ? std::optional(load.limit_per_second())
+                                       : std::nullopt);
   }
 
   void OnTargetChange() {
--- a/tests/core/named_limit_test.cpp
+++ b/tests/core/named_limit_test.cpp
@@ -78,10 +78,9 @@
         limit.Reset();
         limit.OnAnswer(rate, now, now);
         tallies.clear();
-        const int most =
-            Offer(limit, now, seconds(20),
-                  {{kImportant, offered / 2}, {kUnimportant, offered / 2}},
-                  tallies);
+        const int most = Offer(
+            limit, now, seconds(20),
+            {{kImportant, offered / 2}, {kUnimportant, offered / 2}}, tallies);
         CHECK(most <= Allowed(rate));
         const int admitted =
             tallies[kImportant].admitted + tallies[kUnimportant].admitted;
@@ -230,9 +229,8 @@
   RandomSource random([&] { return generator(); });
   Instant now = kStart;
   for (const std::string member : {"limited", "free"}) {
-    selector.Put(member,
-                 {.instance = "i-" + member, .service = "s", .slots = 100},
-                 now);
+    selector.Put(
+        member, {.instance = "i-" + member, .service = "s", .slots = 100}, now);
     selector.RecordLoad(
         member,
         {.mean_work = milliseconds(100),
--- a/tests/core/sidecar_routing_test.cpp
+++ b/tests/core/sidecar_routing_test.cpp
@@ -231,8 +231,9 @@
   const auto count_near = [&](std::size_t body_bytes) {
     int near = 0;
     for (int i = 0; i < 1000; ++i) {
-      near += selector.Choose("claims", {}, kNow, random, {.body_bytes = body_bytes})->member ==
-                      "near"
+      near += selector.Choose("claims", {}, kNow, random,
+                              {.body_bytes = body_bytes})
+                          ->member == "near"
                   ? 1
                   : 0;
     }
--- a/tests/harness/sidecar_vm.cpp
+++ b/tests/harness/sidecar_vm.cpp
@@ -169,14 +169,13 @@
 
 unsigned SidecarVm::AnnounceAs(int born, int report, const std::string& state,
                                int slots) {
-  return SendRequest(
-             this->base_port + 1, Verb::post,
-             "/v1/instances/i-" + this->name + "/heartbeat", "",
-             R"({"born":)" + std::to_string(born) +
-                 R"(,"info":{"service":"s","slots":)" + std::to_string(slots) +
-                 R"(},"status":{"state":")" +
-                 state + R"(","seq":)" + std::to_string(report) +
-                 R"(,"cold_time":"0ms"}})")
+  return SendRequest(this->base_port + 1, Verb::post,
+                     "/v1/instances/i-" + this->name + "/heartbeat", "",
+                     R"({"born":)" + std::to_string(born) +
+                         R"(,"info":{"service":"s","slots":)" +
+                         std::to_string(slots) + R"(},"status":{"state":")" +
+                         state + R"(","seq":)" + std::to_string(report) +
+                         R"(,"cold_time":"0ms"}})")
       .status;
 }
 
--- a/tests/sidecar/abandoned_work_test.cpp
+++ b/tests/sidecar/abandoned_work_test.cpp
@@ -41,14 +41,14 @@
 
   void Send(const std::string& path, const std::string& body = "") {
     static int last_id = 0;
-    this->caller.SendOnly({.method = body.empty() ? "GET" : "PUT",
-                           .target = path,
-                           .key = "k1",
-                           .body = body,
-                           .headers = {{"Host", "a.example"},
-                                       {"Request-Id",
-                                        "gone-" + std::to_string(++last_id)},
-                                       {"Deadline-Ms", "7000"}}});
+    this->caller.SendOnly(
+        {.method = body.empty() ? "GET" : "PUT",
+         .target = path,
+         .key = "k1",
+         .body = body,
+         .headers = {{"Host", "a.example"},
+                     {"Request-Id", "gone-" + std::to_string(++last_id)},
+                     {"Deadline-Ms", "7000"}}});
   }
   void Leave() { this->caller.Leave(); }
 
@@ -128,9 +128,8 @@
     client.Send("/scan/calls/1");
     WaitUntilAtWork(*fixture.near);
     fixture.Announce(fixture.second);
-    REQUIRE(Eventually([&] {
-      return fixture.near->at_work() + fixture.far->at_work() > 1;
-    }));
+    REQUIRE(Eventually(
+        [&] { return fixture.near->at_work() + fixture.far->at_work() > 1; }));
     client.Leave();
     CHECK(EndsWithin(*fixture.near, kBound));
     CHECK(EndsWithin(*fixture.far, kBound));
@@ -204,8 +203,8 @@
     fixture.Announce(fixture.first);
     boost::asio::io_context context;
     boost::asio::ip::tcp::socket client(context);
-    client.connect(io::http::ParseEndpoint(
-        LoopbackAddress(fixture.first.base_port)));
+    client.connect(
+        io::http::ParseEndpoint(LoopbackAddress(fixture.first.base_port)));
     const auto begin = steady_clock::now();
     boost::asio::write(
         client,
--- a/tests/sidecar/limited_target_test.cpp
+++ b/tests/sidecar/limited_target_test.cpp
@@ -74,8 +74,9 @@
       Vm& vm = i % 2 == 0 ? this->first : this->second;
       const unsigned status =
           vm.Call("/pay/" + std::to_string(i), "k1", Verb::put).status;
-      ++(status == 200 ? tally.answered
-                       : status == 503 ? tally.refused : tally.other);
+      ++(status == 200   ? tally.answered
+         : status == 503 ? tally.refused
+                         : tally.other);
       std::this_thread::sleep_for(milliseconds(15));
     }
     tally.at_limited = this->limited->arrivals() - before;
@@ -121,7 +122,8 @@
       fixture.Announce(fixture.second);
       CHECK(Eventually([&] {
         return fixture.second.Log().rfind("per_second=none") !=
-               std::string::npos || (fixture.first.Call("/pay/1"), false);
+                   std::string::npos ||
+               (fixture.first.Call("/pay/1"), false);
       }));
       CHECK(fixture.Load().refused == 0);
     }
@@ -135,8 +137,7 @@
 
 // Guards against a daemon that forgets the limit of its target when it
 // restarts, while requests come from other VMs.
-TEST_CASE("A limit outlives the daemon beside its target",
-          "[sidecar][limit]") {
+TEST_CASE("A limit outlives the daemon beside its target", "[sidecar][limit]") {
   Fixture fixture;
   fixture.Announce(fixture.second);
   fixture.Load();
