--- a/packages/core/src/overload/named_limit.cpp
+++ b/packages/core/src/overload/named_limit.cpp
@@ -78,13 +78,11 @@
   this->has_answered = true;
   const bool lowers =
       per_second && (!this->limit || *per_second <= *this->limit);
-  if (lowers) {
-    this->named_at = now;
-  } else if (!this->limit || sent_at < this->named_at) {
+  const bool is_later = this->limit && sent_at >= this->named_at;
+  if (!lowers && !is_later) {
     return false;
-  } else {
-    this->named_at = now;
   }
+  this->named_at = now;
   return this->Set(per_second, now);
 }
 
--- a/tests/core/named_limit_test.cpp
+++ b/tests/core/named_limit_test.cpp
@@ -23,7 +23,9 @@
 struct Tally {
   int offered = 0;
   int admitted = 0;
-  double fraction() const { return double(admitted) / std::max(1, offered); }
+  double fraction() const {
+    return static_cast<double>(admitted) / std::max(1, offered);
+  }
 };
 
 // Offers `per_second` requests of each rank for `time` and returns the highest
