Soak: a target that names a limit; its promise

Half of the seeds have a target that names 3 requests a second for 9 s; from 3 s after its first such answer on it may get 23 in any 4 s from other VMs. The limits are drawn apart, so that the other faults of a seed stay as they were.

--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -35,6 +35,7 @@
 constexpr int kLinkDelayMs = 150;
 constexpr int kNarrowBytesPerSecond = 20'000;
 constexpr int kKeys = 6;
+constexpr int kLimitPerSecond = 3;
 
 void Sleep(milliseconds time) { std::this_thread::sleep_for(time); }
 
@@ -248,6 +249,9 @@
     case FaultKind::kSilentTarget:
       this->PlayOnTarget(fault);
       break;
+    case FaultKind::kLimitedTarget:
+      this->LimitTarget(fault);
+      break;
   }
 }
 
@@ -338,6 +342,24 @@
   this->PutManifest(key);
 }
 
+void Fleet::LimitTarget(const Fault& fault) {
+  Vm& vm = *this->fleet.at(static_cast<std::size_t>(fault.vm));
+  Limit limit{.vm = fault.vm, .per_second = kLimitPerSecond};
+  {
+    const std::lock_guard lock(vm.mutex);
+    limit.instance = vm.instance;
+  }
+  vm.target->SetLimit(kLimitPerSecond);
+  Sleep(fault.length);
+  limit.span.end = Clock::now();
+  const auto named_at = vm.target->named_at();
+  vm.target->SetLimit(0);
+  if (named_at) {
+    limit.span.begin = *named_at;
+    this->observations.AddLimit(limit);
+  }
+}
+
 void Fleet::PlayOnTarget(const Fault& fault) {
   Vm& vm = *this->fleet.at(static_cast<std::size_t>(fault.vm));
   if (fault.kind == FaultKind::kLoseAnswers ||
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -82,6 +82,7 @@
   void PlayOnLinks(const Fault& fault);
   void PlayOnStore(const Fault& fault);
   void PlayOnTarget(const Fault& fault);
+  void LimitTarget(const Fault& fault);
   void PlayOnManifest(const Fault& fault);
 
   FleetOptions options;
--- a/tests/soak/promises.cpp
+++ b/tests/soak/promises.cpp
@@ -10,6 +10,21 @@
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+// The largest number of `times` in any span of the window's length.
+std::size_t LargestCount(std::vector<Clock::time_point>& times,
+                         Clock::duration window) {
+  std::sort(times.begin(), times.end());
+  std::size_t first = 0;
+  std::size_t largest = 0;
+  for (std::size_t last = 0; last < times.size(); ++last) {
+    while (times[last] - times[first] >= window) {
+      ++first;
+    }
+    largest = std::max(largest, last - first + 1);
+  }
+  return largest;
+}
+
 }  // namespace
 
 void Observations::AddRequest(Request request) {
@@ -34,6 +49,11 @@
   this->leaving.emplace(instance, at);
 }
 
+void Observations::AddLimit(const Limit& limit) {
+  const std::lock_guard lock(this->mutex);
+  this->limits.push_back(limit);
+}
+
 void Observations::AddPlannedStop(int vm, const Span& span) {
   const std::lock_guard lock(this->mutex);
   this->planned_stops.emplace_back(vm, span);
@@ -57,6 +77,7 @@
   this->CheckKeys(bounds, broken);
   this->CheckDrains(bounds, broken);
   this->CheckRates(bounds, broken);
+  this->CheckLimits(bounds, broken);
   this->CheckPlannedStops(broken);
   return broken;
 }
@@ -122,17 +143,44 @@
     }
   }
   for (auto& [account, times] : by_account) {
-    std::sort(times.begin(), times.end());
-    std::size_t first = 0;
-    std::size_t largest = 0;
-    for (std::size_t last = 0; last < times.size(); ++last) {
-      while (times[last] - times[first] >= bounds.account_window) {
-        ++first;
+    const std::size_t largest = LargestCount(times, bounds.account_window);
+    if (static_cast<double>(largest) > most) {
+      broken.push_back(account + " ran " + std::to_string(largest) +
+                       " requests in a window, " +
+                       std::to_string(static_cast<int>(most)) + " are allowed");
+    }
+  }
+}
+
+void Observations::CheckLimits(const Bounds& bounds,
+                               std::vector<std::string>& broken) const {
+  std::map<std::string, int> vms;  // by request id
+  for (const Request& request : this->requests) {
+    vms[request.id] = request.vm;
+  }
+  for (const Limit& limit : this->limits) {
+    std::vector<Clock::time_point> times;
+    for (const auto& [id, runs_of_request] : this->runs) {
+      const auto vm = vms.find(id);
+      // The daemon beside the target may have restarted, which excuses it.
+      if (vm == vms.end() || vm->second == limit.vm) {
+        continue;
+      }
+      for (const Run& run : runs_of_request) {
+        if (run.instance == limit.instance &&
+            run.at > limit.span.begin + bounds.limit_delay &&
+            run.at < limit.span.end) {
+          times.push_back(run.at);
+        }
       }
-      largest = std::max(largest, last - first + 1);
     }
+    const double most =
+        limit.per_second * bounds.limit_factor *
+            std::chrono::duration<double>(bounds.limit_window).count() +
+        bounds.limit_slack;
+    const std::size_t largest = LargestCount(times, bounds.limit_window);
     if (static_cast<double>(largest) > most) {
-      broken.push_back(account + " ran " + std::to_string(largest) +
+      broken.push_back(limit.instance + " got " + std::to_string(largest) +
                        " requests in a window, " +
                        std::to_string(static_cast<int>(most)) + " are allowed");
     }
--- a/tests/soak/promises.h
+++ b/tests/soak/promises.h
@@ -44,6 +44,16 @@
   bool operator==(const Span&) const = default;
 };
 
+// A target named this limit in its answers.
+struct Limit {
+  int vm = 0;  // beside the target
+  std::string instance;
+  int per_second = 0;
+  Span span;
+
+  bool operator==(const Limit&) const = default;
+};
+
 struct Bounds {
   std::chrono::milliseconds key_withdrawal{5'000};
   std::chrono::milliseconds drain{2'000};
@@ -53,6 +63,12 @@
   // Beyond the rate: a fraction of it, and requests.
   double account_overage = 0.1;
   double account_slack = 20;
+  // A limit counts from this long after it was named first. In the window a
+  // target may get this much more than it allows.
+  std::chrono::milliseconds limit_delay{3'000};
+  std::chrono::milliseconds limit_window{4'000};
+  double limit_factor = 1.5;
+  double limit_slack = 5;
 };
 
 // Safe to use from several threads.
@@ -65,6 +81,7 @@
   void AddWithdrawnKey(const std::string& key, Clock::time_point at);
   // A daemon has acknowledged that the instance leaves.
   void AddLeaving(const std::string& instance, Clock::time_point at);
+  void AddLimit(const Limit& limit);
   // A planned stop of a daemon without any other fault around it.
   void AddPlannedStop(int vm, const Span& span);
 
@@ -84,6 +101,8 @@
   void CheckDrains(const Bounds& bounds,
                    std::vector<std::string>& broken) const;
   void CheckRates(const Bounds& bounds, std::vector<std::string>& broken) const;
+  void CheckLimits(const Bounds& bounds,
+                   std::vector<std::string>& broken) const;
   void CheckPlannedStops(std::vector<std::string>& broken) const;
   std::size_t RunsOf(const std::string& id) const;
 
@@ -92,6 +111,7 @@
   std::map<std::string, std::vector<Run>> runs;  // by request id
   std::map<std::string, Clock::time_point> withdrawn_keys;
   std::map<std::string, Clock::time_point> leaving;  // by instance
+  std::vector<Limit> limits;
   std::vector<std::pair<int, Span>> planned_stops;
 };
 
--- a/tests/soak/schedule.cpp
+++ b/tests/soak/schedule.cpp
@@ -9,12 +9,13 @@
 namespace {
 using std::chrono::milliseconds;
 
-constexpr std::array<std::string_view, kFaultKinds> kNames = {
-    "kill",         "planned-stop",   "pause",           "delay",
-    "reset-links",  "cut-one-way",    "silence",         "narrow",
-    "store-down",   "store-silent",   "store-slow",      "store-lost",
-    "withdraw-key", "new-manifest",   "drain-target",    "crash-target",
-    "lose-answers", "second-answers", "endless-answers", "silent-target"};
+constexpr std::array<std::string_view, kFaultKinds + 1> kNames = {
+    "kill",          "planned-stop",   "pause",           "delay",
+    "reset-links",   "cut-one-way",    "silence",         "narrow",
+    "store-down",    "store-silent",   "store-slow",      "store-lost",
+    "withdraw-key",  "new-manifest",   "drain-target",    "crash-target",
+    "lose-answers",  "second-answers", "endless-answers", "silent-target",
+    "limited-target"};
 
 constexpr int kMinFaults = 4;
 constexpr int kMaxFaults = 9;
@@ -28,6 +29,11 @@
 constexpr milliseconds kExtraStoreTime{6'000};
 constexpr milliseconds kWithdrawalDelay{500};
 
+// Half of the schedules have a target that names a limit. It is drawn apart, so
+// that the other faults of a seed stay the same.
+constexpr std::uint64_t kLimitStream = 0x6c696d6974;
+constexpr milliseconds kLimitLength{9'000};
+
 bool IsStoreFault(FaultKind kind) {
   return kind == FaultKind::kStoreDown || kind == FaultKind::kStoreSilent;
 }
@@ -69,6 +75,14 @@
       }
     }
   }
+  std::mt19937_64 limits(options.seed ^ kLimitStream);
+  if (limits() % 2 == 0) {
+    faults.push_back({.kind = FaultKind::kLimitedTarget,
+                      .at = milliseconds(limits() % 2'000),
+                      .length = kLimitLength,
+                      .vm = static_cast<int>(
+                          limits() % static_cast<std::uint64_t>(options.vms))});
+  }
   std::stable_sort(
       faults.begin(), faults.end(),
       [](const Fault& left, const Fault& right) { return left.at < right.at; });
--- a/tests/soak/schedule.h
+++ b/tests/soak/schedule.h
@@ -30,8 +30,10 @@
   kSecondAnswers,   // a target sends answers twice, the second time late
   kEndlessAnswers,  // a target sends bytes without end
   kSilentTarget,    // a target's announcements stop, its work goes on
+  kLimitedTarget,   // a target names the request rate that it takes
 };
 
+// Kinds that any fault of a schedule may have.
 constexpr int kFaultKinds = 20;
 
 struct Fault {
--- a/tests/soak/target.cpp
+++ b/tests/soak/target.cpp
@@ -68,6 +68,24 @@
   this->instance_name = name;
 }
 
+void Target::SetLimit(int per_second) {
+  const std::lock_guard lock(this->mutex);
+  this->limit = per_second;
+  this->limit_named_at.reset();
+}
+
+std::optional<Clock::time_point> Target::named_at() {
+  const std::lock_guard lock(this->mutex);
+  return this->limit_named_at;
+}
+
+void Target::RecordNamedLimit() {
+  const std::lock_guard lock(this->mutex);
+  if (this->limit > 0 && !this->limit_named_at) {
+    this->limit_named_at = Clock::now();
+  }
+}
+
 std::string Target::instance() {
   const std::lock_guard lock(this->mutex);
   return this->instance_name;
@@ -154,9 +172,15 @@
                                  asio::use_awaitable);
     }
   }
-  const std::string answer = AnswerWith(id, "HTTP/1.1 200 OK\r\n", "");
+  const int named = this->limit;
+  const std::string answer = AnswerWith(
+      id, "HTTP/1.1 200 OK\r\n",
+      named > 0 ? "Server-Limit: " + std::to_string(named) + ".0\r\n" : "");
   co_await asio::async_write(*socket, asio::buffer(answer),
                              asio::use_awaitable);
+  if (named > 0) {
+    this->RecordNamedLimit();
+  }
   if (current == TargetFault::kSecondAnswers) {
     co_await WaitFor(kSecondAnswerDelay);
     co_await asio::async_write(*socket, asio::buffer(answer),
--- a/tests/soak/target.h
+++ b/tests/soak/target.h
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <thread>
@@ -32,12 +33,20 @@
   // Requests that name another instance are not run.
   void SetInstance(const std::string& name);
   void SetFault(TargetFault new_fault) { this->fault = new_fault; }
+  // Answers name this limit in requests per second; 0: they name none.
+  void SetLimit(int per_second);
   // Ends all connections at once, as a crash does.
   void DropConnections();
 
+  // Queries.
+
+  // When an answer named the current limit first.
+  std::optional<Clock::time_point> named_at();
+
  private:
   using SocketPointer = std::shared_ptr<boost::asio::ip::tcp::socket>;
 
+  void RecordNamedLimit();
   boost::asio::awaitable<void> Accept();
   boost::asio::awaitable<void> Serve(SocketPointer socket);
   boost::asio::awaitable<void> ServeAll(SocketPointer socket);
@@ -51,7 +60,9 @@
   std::set<SocketPointer> sockets;
   std::mutex mutex;
   std::string instance_name;
+  std::optional<Clock::time_point> limit_named_at;
   std::atomic<TargetFault> fault = TargetFault::kNone;
+  std::atomic<int> limit = 0;
   std::thread thread;
 };
 
