Choice of target: a target of whose work nothing is known is not a slow one

Cause: an unknown mean work counted as 50 ms, more than four times that of the others, and so as slow. Evidence: core_tests "A target is chosen by its expected cost", new section, failed before and holds.

--- a/packages/core/src/routing/target_selector.cpp
+++ b/packages/core/src/routing/target_selector.cpp
@@ -190,10 +190,14 @@
   const int reported = entry.load.running + entry.load.waiting;
   const double requests_at_target = static_cast<double>(
       std::max(entry.outstanding, reported + entry.sent_since_report));
-  const Duration work = entry.load.mean_work > Duration::zero()
-                            ? entry.load.mean_work
-                            : kDefaultMeanWork;
+  const bool has_reported_work = entry.load.mean_work > Duration::zero();
+  const Duration work =
+      has_reported_work ? entry.load.mean_work : kDefaultMeanWork;
   const auto work_ns = static_cast<double>(work.count());
+  const double slowness_ns =
+      has_reported_work
+          ? std::max(0.0, work_ns - kToleratedSlowdown * lowest_mean_work_ns)
+          : 0.0;
   const double excess = requests_at_target + 1 - capacity;
   Estimate estimate;
   if (excess > 0) {
@@ -208,7 +212,7 @@
   estimate.cost_ns =
       static_cast<double>(estimate.wait.count()) +
       work_ns * std::max(0.0, utilization - kMaxUncontendedUtilization) +
-      std::max(0.0, work_ns - kToleratedSlowdown * lowest_mean_work_ns) +
+      slowness_ns +
       kFailureCostNs *
           std::max(0.0, entry.load.failed_fraction - kToleratedFailedFraction);
   if (entry.target.distance == Distance::kSameDataCentre) {
--- a/tests/core/sidecar_routing_test.cpp
+++ b/tests/core/sidecar_routing_test.cpp
@@ -189,6 +189,18 @@
             milliseconds(100));
     }
   }
+  SECTION("a new target, of whose work nothing is known, is not a slow one") {
+    for (const char* member : {"near", "far"}) {
+      selector.RecordLoad(member, {.mean_work = milliseconds(5)}, now);
+    }
+    selector.Put("here",
+                 {.instance = "here-2",
+                  .service = "s",
+                  .distance = Distance::kSameVm,
+                  .slots = 10},
+                 now);
+    CHECK(selector.Choose("s", {}, now, random)->member == "here");
+  }
   SECTION("draining, unreachable and excluded targets are not chosen") {
     selector.Put("here",
                  {.instance = "here-1",
