Limits of targets outlive two restarts of the daemon beside the target

What callers saw: none of them anything; a target whose daemon restarted twice within a second or two got all requests of the other VMs at once. Cause: a daemon that knows no target yet reports its load without a limit, and its peers took that for the end of the limit that they remembered. Evidence: the section "after two restarts, one before the target announces itself" failed before (60 requests, 23 allowed in 4 s) and holds.

--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -446,6 +446,9 @@
 
   void ReportLoad(const std::string& member, const mesh::Load& load) {
     this->front.ReportLoad(member, load);
+    if (this->front.selector().ServiceOf(member).empty()) {
+      return;  // a daemon that has restarted and knows no target yet
+    }
     this->known_limits.RecordLimit(member,
                                    load.has_limit_per_second()
                                        ? std::optional(load.limit_per_second())
--- a/tests/sidecar/limited_target_test.cpp
+++ b/tests/sidecar/limited_target_test.cpp
@@ -170,6 +170,17 @@
     CHECK(arrivals > 0);
     CHECK(arrivals <= kAllowed);
   }
+  SECTION("after two restarts, one before the target announces itself") {
+    Restart(fixture.second);
+    // Longer than two load reports of the daemon that knows no target yet.
+    std::this_thread::sleep_for(milliseconds(2500));
+    Restart(fixture.second);
+    fixture.Announce(fixture.second);
+    std::this_thread::sleep_for(milliseconds(1500));
+    const int arrivals = send_all();
+    CHECK(arrivals > 0);
+    CHECK(arrivals <= kAllowed);
+  }
   SECTION("but not the start of the target that named it") {
     Restart(fixture.second);
     fixture.limited->SetHeaderLines("");
