--- a/tests/harness/sidecar_vm.cpp
+++ b/tests/harness/sidecar_vm.cpp
@@ -11,6 +11,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <stdexcept>
 
 namespace lycheewell::harness {
 namespace asio = boost::asio;
@@ -163,6 +164,14 @@
       this->folder + "/log");
 }
 
+void SidecarVm::Restart() {
+  this->process->Kill();
+  this->Start();
+  if (!Eventually([this] { return this->IsReady(); }, seconds(10))) {
+    throw std::runtime_error(this->name + " did not get ready");
+  }
+}
+
 unsigned SidecarVm::Announce(const std::string& state) {
   return this->AnnounceAs(this->target->born(), ++this->sequence, state);
 }
--- a/tests/harness/sidecar_vm.h
+++ b/tests/harness/sidecar_vm.h
@@ -97,6 +97,8 @@
   // Commands.
 
   void Start();
+  // Kills the sidecar and starts it again; throws if it does not get ready.
+  void Restart();
   // The current start of the target announces itself; returns the status.
   unsigned Announce(const std::string& state);
   // Any start of it does.
--- a/tests/harness/working_target.cpp
+++ b/tests/harness/working_target.cpp
@@ -26,15 +26,6 @@
   return address;
 }
 
-std::string HeaderOf(const std::string& head, const std::string& name) {
-  const std::size_t found = head.find("\r\n" + name + ": ");
-  if (found == std::string::npos) {
-    return "";
-  }
-  const std::size_t begin = found + name.size() + 4;
-  return head.substr(begin, head.find("\r\n", begin) - begin);
-}
-
 // Returns whether the peer has closed or reset the connection within the time.
 bool IsClosedWithin(int connection, int wait_ms) {
   pollfd watched{.fd = connection, .events = POLLRDHUP, .revents = 0};
@@ -55,6 +46,15 @@
 
 }  // namespace
 
+std::string HeaderOf(const std::string& head, const std::string& name) {
+  const std::size_t found = head.find("\r\n" + name + ": ");
+  if (found == std::string::npos) {
+    return "";
+  }
+  const std::size_t begin = found + name.size() + 4;
+  return head.substr(begin, head.find("\r\n", begin) - begin);
+}
+
 WorkingTarget::WorkingTarget(int port)
     : listener(socket(AF_INET, SOCK_STREAM, 0)) {
   const int on = 1;
--- a/tests/sidecar/departure_test.cpp
+++ b/tests/sidecar/departure_test.cpp
@@ -22,13 +22,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// A daemon that restarts and hears of the departure from whoever remembers.
-void Restart(Vm& vm) {
-  vm.process->Kill();
-  vm.Start();
-  REQUIRE(Eventually([&] { return vm.IsReady(); }, seconds(10)));
-}
-
 }  // namespace
 
 // Guards against a target that had deregistered and got work again, as its
@@ -61,13 +54,13 @@
     REQUIRE(second.Deregister() == 200);
 
     SECTION("and only its own sidecar restarts") {
-      Restart(second);
+      second.Restart();
       check_idle();
     }
     SECTION("and all sidecars restart at once") {
       first.process->Kill();
-      Restart(second);
-      Restart(first);
+      second.Restart();
+      first.Restart();
       check_idle();
     }
     SECTION("and its own one does not reach the store from then on") {
@@ -80,7 +73,7 @@
       check_idle();
     }
     SECTION("and another start of it under the same name gets work") {
-      Restart(second);
+      second.Restart();
       second.target->Restart();
       second.Announce("ready");
       const int runs = second.target->runs;
@@ -93,17 +86,17 @@
   SECTION("having reported that it is draining") {
     REQUIRE(second.Announce("draining") == 200);
     first.process->Kill();
-    Restart(second);
-    Restart(first);
+    second.Restart();
+    first.Restart();
     check_idle();
   }
   SECTION("having deregistered at a sidecar that did not know it yet") {
-    Restart(second);
+    second.Restart();
     REQUIRE(second.Deregister() == 200);
     check_idle();
     first.process->Kill();
-    Restart(second);
-    Restart(first);
+    second.Restart();
+    first.Restart();
     check_idle();
   }
   SECTION("and its departure is not acknowledged before it is stored") {
@@ -165,14 +158,14 @@
       CHECK(arrivals() == 0);
     }
     SECTION("also after its sidecar restarts") {
-      Restart(second);
+      second.Restart();
       announce(second, 1);
       CHECK(arrivals() == 0);
     }
     SECTION("also after all sidecars restart") {
       first.process->Kill();
-      Restart(second);
-      Restart(first);
+      second.Restart();
+      first.Restart();
       announce(first, 1);
       announce(second, 1);
       CHECK(arrivals() == 0);
--- a/tests/sidecar/limited_target_test.cpp
+++ b/tests/sidecar/limited_target_test.cpp
@@ -84,12 +84,6 @@
   }
 };
 
-void Restart(Vm& vm) {
-  vm.process->Kill();
-  vm.Start();
-  REQUIRE(Eventually([&] { return vm.IsReady(); }, seconds(10)));
-}
-
 }  // namespace
 
 // Guards against targets that get far more requests than they have asked for.
@@ -162,7 +156,7 @@
   };
 
   SECTION("after a restart") {
-    Restart(fixture.second);
+    fixture.second.Restart();
     fixture.Announce(fixture.second);
     // No request in between: its answer would name the limit again.
     std::this_thread::sleep_for(milliseconds(1500));
@@ -171,10 +165,10 @@
     CHECK(arrivals <= kAllowed);
   }
   SECTION("after two restarts, one before the target announces itself") {
-    Restart(fixture.second);
+    fixture.second.Restart();
     // Longer than two load reports of the daemon that knows no target yet.
     std::this_thread::sleep_for(milliseconds(2500));
-    Restart(fixture.second);
+    fixture.second.Restart();
     fixture.Announce(fixture.second);
     std::this_thread::sleep_for(milliseconds(1500));
     const int arrivals = send_all();
@@ -182,14 +176,14 @@
     CHECK(arrivals <= kAllowed);
   }
   SECTION("but not the start of the target that named it") {
-    Restart(fixture.second);
+    fixture.second.Restart();
     fixture.limited->SetHeaderLines("");
     REQUIRE(fixture.second.AnnounceAs(2, 1, "ready", kSlots) == 200);
     std::this_thread::sleep_for(milliseconds(300));
     CHECK(send_all() == kSlots);
   }
   SECTION("and ends with the first answer that names none") {
-    Restart(fixture.second);
+    fixture.second.Restart();
     fixture.limited->SetHeaderLines("");
     fixture.Announce(fixture.second);
     REQUIRE(Eventually([&] {
--- a/tests/soak/target.cpp
+++ b/tests/soak/target.cpp
@@ -11,9 +11,12 @@
 #include <chrono>
 #include <functional>
 
+#include "harness/working_target.h"
+
 namespace lycheewell::soak {
 namespace asio = boost::asio;
 using asio::ip::tcp;
+using harness::HeaderOf;
 using std::chrono::milliseconds;
 
 namespace {
@@ -31,16 +34,6 @@
   co_await timer.async_wait(asio::use_awaitable);
 }
 
-// The value of a header in `head`; empty if it is missing.
-std::string HeaderOf(const std::string& head, const std::string& name) {
-  const std::size_t found = head.find("\r\n" + name + ": ");
-  if (found == std::string::npos) {
-    return "";
-  }
-  const std::size_t begin = found + name.size() + 4;
-  return head.substr(begin, head.find("\r\n", begin) - begin);
-}
-
 std::string AnswerWith(const std::string& id, const std::string& status_line,
                        const std::string& extra_lines) {
   return status_line + "Request-Id: " + id +
