Limits of targets: changes are announced twice a second at most

What callers saw: none of them anything; a target whose limit goes up and down with each answer made its daemon send a message to every peer for each answer. Cause: each change by a fifth counted as one that peers must hear of at once. The first limit that a target names is still announced at once; a change is in force at the gate at once, and travels with replies and load reports.

--- a/packages/core/include/lycheewell/core/overload/named_limit.h
+++ b/packages/core/include/lycheewell/core/overload/named_limit.h
@@ -21,7 +21,8 @@
   // says: the limit that it names in requests per second, or nothing. A lower
   // limit counts at once. A higher one, or none, counts from an answer on whose
   // request was sent after the lower one had been named last, since answers can
-  // overtake each other. Returns whether the limit has changed noticeably.
+  // overtake each other. Returns whether the limit has changed so much, and
+  // long enough after the last such change, that peers should hear of it now.
   bool OnAnswer(std::optional<double> per_second, Instant sent_at, Instant now);
 
   // Peers remember that the target had named the limit before this daemon
@@ -66,8 +67,9 @@
   bool Set(std::optional<double> per_second, Instant now);
 
   std::optional<double> limit;
-  std::optional<double> announced;  // the limit that was last a noticeable one
-  Instant named_at;                 // the last time at this limit or below
+  std::optional<double> announced;  // the last noticeable limit, and when
+  std::optional<Instant> announced_at;
+  Instant named_at;  // the last time at this limit or below
   bool has_answered = false;
   double tokens = 0;
   Instant refilled_at;
--- a/packages/core/src/overload/named_limit.cpp
+++ b/packages/core/src/overload/named_limit.cpp
@@ -24,6 +24,10 @@
 // their next load report.
 constexpr double kNoticeableChange = 0.2;
 
+// Minimum time between two changes that count as noticeable, but for the first
+// limit that a target names: load reports carry each of them.
+constexpr Duration kMinNoticeInterval = std::chrono::milliseconds(500);
+
 // Refusals per second that are worth their cost: as many as admitted requests,
 // and some more where the limit is low.
 constexpr double kRefusalsPerAdmitted = 1.0;
@@ -63,12 +67,17 @@
     this->ranks.clear();
     this->backoff_seconds = 0;
   }
-  const bool is_noticeable =
+  const bool is_first = per_second && !this->announced_at;
+  const bool has_changed =
       per_second.has_value() != this->announced.has_value() ||
       (per_second && std::abs(*per_second - *this->announced) >
                          kNoticeableChange * *this->announced);
+  const bool is_noticeable =
+      is_first ||
+      (has_changed && now - *this->announced_at >= kMinNoticeInterval);
   if (is_noticeable) {
     this->announced = per_second;
+    this->announced_at = now;
   }
   return is_noticeable;
 }
