Servers: a connection that can't be accepted is logged and counted

When accept failed, for lack of a descriptor for instance, it was tried again without a trace; requests that waited unread could not be told from a slow loop. LW1104 accept-failed and lycheewell_accept_failures_total name the server, the reason and the connections it holds; the metrics count the open and the idle ones of clients.

--- a/packages/daemon/include/lycheewell/daemon/events/event_catalogue.h
+++ b/packages/daemon/include/lycheewell/daemon/events/event_catalogue.h
@@ -22,6 +22,7 @@
   kLinesLeftOut = 1101,
   kSettingsReloaded = 1102,
   kLoopLate = 1103,
+  kAcceptFailed = 1104,
 
   kRequestRouted = 2001,
   kRequestRefused = 2002,
--- a/packages/daemon/src/events/event_catalogue.cpp
+++ b/packages/daemon/src/events/event_catalogue.cpp
@@ -15,6 +15,7 @@
       {Event::kLinesLeftOut, Level::kInfo, "lines-left-out"},
       {Event::kSettingsReloaded, Level::kInfo, "settings-reloaded"},
       {Event::kLoopLate, Level::kWarn, "loop-late"},
+      {Event::kAcceptFailed, Level::kWarn, "accept-failed"},
       {Event::kRequestRouted, Level::kInfo, "request-routed"},
       {Event::kRequestRefused, Level::kInfo, "request-refused"},
       {Event::kRequestRetried, Level::kInfo, "request-retried"},
--- a/packages/sidecar/include/lycheewell/sidecar/http/server.h
+++ b/packages/sidecar/include/lycheewell/sidecar/http/server.h
@@ -75,6 +75,17 @@
   bool operator==(const ServerLimits&) const = default;
 };
 
+// A connection that could not be accepted, for example for lack of a file
+// descriptor.
+struct AcceptFailure {
+  std::string detail;
+  // Connections that the server holds, and those of them without a request.
+  std::size_t open_connections = 0;
+  std::size_t idle_connections = 0;
+
+  bool operator==(const AcceptFailure&) const = default;
+};
+
 struct ServerOptions {
   boost::asio::ip::tcp::endpoint endpoint;
   std::function<void(ExchangePointer)> handler;
@@ -82,6 +93,8 @@
   std::function<ServerLimits()> limits;
   // Called for requests that the server rejects without calling the handler.
   std::function<void(unsigned status, std::string_view reason)> on_bad_request;
+  // Called when a connection could not be accepted; it is tried again.
+  std::function<void(const AcceptFailure&)> on_accept_failure;
   // Time within which a request with this head must be answered; if its body
   // has not arrived by then, it is refused. Null: no such limit.
   std::function<core::Duration(const io::http::Request& head)> time_limit;
@@ -114,11 +127,14 @@
 
   bool is_draining() const { return this->draining; }
   std::size_t connection_count() const { return this->connections.size(); }
+  // Connections without a request in progress.
+  std::size_t idle_connection_count() const;
 
  private:
   friend class ServerConnection;
   void Accept();
   void AddConnection(boost::asio::ip::tcp::socket socket);
+  void ReportAcceptFailure(const std::string& detail);
   // Takes the connections that wait in the kernel's queue.
   void AcceptQueued();
 
--- a/packages/sidecar/src/http/server.cpp
+++ b/packages/sidecar/src/http/server.cpp
@@ -387,6 +387,7 @@
           return;
         }
         if (error) {
+          this->ReportAcceptFailure(error.message());
           this->timers.After(kAcceptRetryDelay, [this] { this->Accept(); });
           return;
         }
@@ -402,6 +403,21 @@
   connection->Start();
 }
 
+void Server::ReportAcceptFailure(const std::string& detail) {
+  if (this->options.on_accept_failure) {
+    this->options.on_accept_failure(
+        {.detail = detail,
+         .open_connections = this->connection_count(),
+         .idle_connections = this->idle_connection_count()});
+  }
+}
+
+std::size_t Server::idle_connection_count() const {
+  return static_cast<std::size_t>(std::count_if(
+      this->connections.begin(), this->connections.end(),
+      [](const auto& connection) { return connection->is_idle(); }));
+}
+
 void Server::AcceptQueued() {
   boost::system::error_code error;
   this->acceptor.cancel(error);
--- a/packages/sidecar/src/links/mesh.cpp
+++ b/packages/sidecar/src/links/mesh.cpp
@@ -113,6 +113,10 @@
   this->acceptor.async_accept(
       [this](const boost::system::error_code& error, tcp::socket socket) {
         if (error) {
+          this->log.Write(Event::kAcceptFailed,
+                          {{"server", "links"},
+                           {"detail", error.message()},
+                           {"open", std::to_string(this->accepted.size())}});
           this->timers.After(kRetryDelay, [this] { this->Accept(); });
           return;
         }
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -211,9 +211,23 @@
                       Event::kBadHttpRequest,
                       {{"status", std::to_string(status)}, {"reason", reason}});
                 },
+            .on_accept_failure =
+                [this, address](const http::AcceptFailure& failure) {
+                  this->OnAcceptFailure(address, failure);
+                },
             .body_budget = this->request_bodies};
   }
 
+  void OnAcceptFailure(const std::string& server,
+                       const http::AcceptFailure& failure) {
+    this->counters.Count("accept_failures", server);
+    this->log.Write(Event::kAcceptFailed,
+                    {{"server", server},
+                     {"detail", failure.detail},
+                     {"open", std::to_string(failure.open_connections)},
+                     {"idle", std::to_string(failure.idle_connections)}});
+  }
+
   http::ServerOptions ClientServerOptions() {
     http::ServerOptions server =
         this->ServerFor(this->options.settings.clients_address,
@@ -803,8 +817,12 @@
          << "\nlycheewell_daemons_known " << this->mesh.daemon_count()
          << "\nlycheewell_daemons_reachable_part "
          << this->mesh.reachable_fraction() << "\nlycheewell_requests_open "
-         << this->front.open_requests() << "\nlycheewell_target_running "
-         << load.running() << "\nlycheewell_target_waiting " << load.waiting()
+         << this->front.open_requests() << "\nlycheewell_client_connections "
+         << this->client_server.connection_count()
+         << "\nlycheewell_client_connections_idle "
+         << this->client_server.idle_connection_count()
+         << "\nlycheewell_target_running " << load.running()
+         << "\nlycheewell_target_waiting " << load.waiting()
          << "\nlycheewell_target_mean_work_seconds "
          << static_cast<double>(load.mean_work_us()) / 1e6
          << "\nlycheewell_target_failing_part "
