--- a/tests/sidecar/server_test.cpp
+++ b/tests/sidecar/server_test.cpp
@@ -195,3 +195,20 @@
     CHECK(fixture.budget->used_bytes() > 2 * kBody);
   }
 }
+
+// Guards against requests that are passed on although their clients left while
+// the connections waited to be accepted.
+TEST_CASE("A client that left before its connection was accepted is not served",
+          "[sidecar][server]") {
+  Fixture fixture;
+  fixture.holds = true;
+  Client stays;
+  stays.Request();
+  Client leaves;
+  leaves.Request();
+  leaves.socket.close();
+  fixture.server.Start();
+  fixture.RunFor(milliseconds(100));
+  CHECK(fixture.held.size() == 1);
+  CHECK(fixture.server.connection_count() == 1);
+}
