Client server: clients' connections leave the daemon its file descriptors

What callers saw: requests passed their route's time-out unread, work was begun for clients that had left, changes of the manifest came in late.

Cause: nothing bounded the connections of clients. When they had taken all descriptors of the process, accept failed and was tried again 20 ms later; new connections and their requests waited in the kernel's queue. The store's client, the links and the target's connections failed for the same reason ("Too many open files"). Class: a resource of the whole process that callers can use up, with no share kept for what the daemon needs itself.

Why it works: clients get the descriptors that files, links, the target's slots and the store's client do not need. A connection beyond that takes the place of the one that has been idle longest, then of the request that has been arriving longest; beside work its request is refused at once with Retry-After. Only beyond an eighth more does a connection wait.

--- a/packages/sidecar/include/lycheewell/sidecar/http/server.h
+++ b/packages/sidecar/include/lycheewell/sidecar/http/server.h
@@ -10,9 +10,11 @@
 #include <string>
 #include <string_view>
 
+#include "lycheewell/core/overload/connection_admission.h"
 #include "lycheewell/core/types.h"
 #include "lycheewell/io/http/message.h"
 #include "lycheewell/sidecar/http/byte_budget.h"
+#include "lycheewell/sidecar/http/waiting_connections.h"
 #include "lycheewell/sidecar/timer_queue.h"
 
 namespace lycheewell::sidecar::http {
@@ -95,6 +97,8 @@
   std::function<void(unsigned status, std::string_view reason)> on_bad_request;
   // Called when a connection could not be accepted; it is tried again.
   std::function<void(const AcceptFailure&)> on_accept_failure;
+  // Bounds of the open connections, called for each new one. Null: no bound.
+  std::function<core::overload::ConnectionBounds()> connection_bounds;
   // Time within which a request with this head must be answered; if its body
   // has not arrived by then, it is refused. Null: no such limit.
   std::function<core::Duration(const io::http::Request& head)> time_limit;
@@ -127,13 +131,16 @@
 
   bool is_draining() const { return this->draining; }
   std::size_t connection_count() const { return this->connections.size(); }
-  // Connections without a request in progress.
-  std::size_t idle_connection_count() const;
+  // Connections without a request.
+  std::size_t idle_connection_count() const { return this->idle.size(); }
 
  private:
   friend class ServerConnection;
   void Accept();
   void AddConnection(boost::asio::ip::tcp::socket socket);
+  core::overload::ConnectionDecision Decide() const;
+  // Closes the connection that has waited longest and has no unread input.
+  static bool CloseOldest(const WaitingConnections& waiting);
   void ReportAcceptFailure(const std::string& detail);
   // Takes the connections that wait in the kernel's queue.
   void AcceptQueued();
@@ -142,6 +149,8 @@
   ServerOptions options;
   boost::asio::ip::tcp::acceptor acceptor;
   std::set<std::shared_ptr<ServerConnection>> connections;
+  WaitingConnections idle;      // without a request
+  WaitingConnections arriving;  // with an incomplete request
   bool draining = false;
 };
 
--- a/packages/sidecar/include/lycheewell/sidecar/requests/gate.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/gate.h
@@ -138,6 +138,7 @@
   mesh::Target DescribeTarget() const;
   mesh::Load DescribeLoad() const;
   std::size_t running() const { return this->running_calls; }
+  int slot_count() const { return this->slots.slots(); }
   bool accepts_work() const;
   // Use of the target by the client requests of one route and the calls that
   // result from them.
--- a/packages/sidecar/src/http/server.cpp
+++ b/packages/sidecar/src/http/server.cpp
@@ -2,7 +2,6 @@
 
 #include <sys/socket.h>
 
-#include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -31,6 +30,14 @@
 // Delay after a failed accept, for example if no file descriptor is free.
 constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(20);
 
+// Waiting connections that are looked at to find one to close.
+constexpr std::size_t kMaxInspected = 16;
+
+constexpr std::string_view kTooManyConnections = "too many connections";
+
+// Retry-After of requests on connections beyond the bound.
+constexpr std::string_view kNoConnectionRetryAfter = "Retry-After: 0.500\r\n";
+
 // Idle connections are kept open this much longer than the idle timeout, since
 // a client's request may be in transit when the timeout passes.
 constexpr auto kIdleTimeoutMargin = std::chrono::seconds(1);
@@ -67,6 +74,7 @@
   }
 
   void Start() {
+    this->server.idle.Add(this, Now());
     this->StartTimer(this->Limits().idle_timeout + kIdleTimeoutMargin);
     this->Read();
   }
@@ -77,16 +85,24 @@
            !this->lingering && !this->expecting_request;
   }
 
+  // Whether bytes have arrived that the pending read will deliver.
+  bool has_unread_input() const {
+    boost::system::error_code error;
+    return this->socket.available(error) > 0;
+  }
+
   // Ends an idle connection; a request that has arrived by now is still
   // served.
   void CloseWhenIdle() {
-    boost::system::error_code error;
-    if (this->buffer.size() > 0 || this->socket.available(error) > 0) {
+    if (this->buffer.size() > 0 || this->has_unread_input()) {
       return;  // the pending read delivers the request
     }
     this->Linger();
   }
 
+  // Refuses the request of this connection, which is one too many.
+  void RefuseRequest() { this->refuses = true; }
+
   // Closes the connection if no request arrives within `limit`.
   void ExpectRequestWithin(core::Duration limit) {
     this->expecting_request = true;
@@ -98,6 +114,7 @@
       return;
     }
     this->closed = true;
+    this->StopWaiting();
     this->server.timers.Cancel(this->timer);
     boost::system::error_code ignored;
     this->socket.shutdown(tcp::socket::shutdown_both, ignored);
@@ -160,6 +177,11 @@
     return std::max(core::Duration::zero(), limit);
   }
 
+  void StopWaiting() {
+    this->server.idle.Remove(this);
+    this->server.arriving.Remove(this);
+  }
+
   void StartTimer(core::Duration limit) {
     this->server.timers.Cancel(this->timer);
     this->timer = this->server.timers.After(
@@ -184,10 +206,15 @@
       this->Close();
       return;
     }
+    if (this->refuses) {
+      this->Close();  // no input is left that would reset the connection
+      return;
+    }
     if (this->closes_after) {
       this->Linger();
       return;
     }
+    this->server.idle.Add(this, Now());
     this->StartTimer(this->Limits().idle_timeout + kIdleTimeoutMargin);
     this->Consume();
     if (!this->reading && !this->closed) {
@@ -200,6 +227,7 @@
     boost::system::error_code ignored;
     this->socket.shutdown(tcp::socket::shutdown_send, ignored);
     this->lingering = true;
+    this->server.idle.Add(this, Now());
     this->StartTimer(kLingerTime);
     if (!this->reading) {
       this->Read();
@@ -247,6 +275,7 @@
       this->parser->header_limit(limits.header_bytes);
       this->parser->body_limit(limits.body_bytes);
       this->began_at = this->read_at;
+      this->server.idle.Remove(this);
       this->body_allowance =
           std::make_unique<BodyAllowance>(this->server.options.body_budget);
       this->StartTimer(limits.header_timeout);
@@ -283,13 +312,20 @@
       }
     }
     if (!this->parser->is_done()) {
+      this->server.arriving.Add(this, this->began_at);
       return;
     }
+    this->StopWaiting();
     if (this->server.options.is_behind && this->server.options.is_behind() &&
         this->HasClientLeft()) {
       this->Close();
       return;
     }
+    if (this->refuses) {
+      this->Reject(503, kTooManyConnections,
+                   std::string(kNoConnectionRetryAfter));
+      return;
+    }
     this->server.timers.Cancel(this->timer);
     this->closes_after = !this->parser->keep_alive();
     this->exchange = std::make_shared<ServerExchange>(
@@ -320,6 +356,7 @@
   void Reject(unsigned status, std::string_view reason,
               std::string header_lines = "") {
     this->rejected = true;
+    this->StopWaiting();
     this->body_allowance.reset();
     this->parser.reset();
     this->server.options.on_bad_request(status, reason);
@@ -342,6 +379,7 @@
   bool closes_after = false;
   bool rejected = false;
   bool lingering = false;
+  bool refuses = false;  // one connection too many
   bool expecting_request = false;  // accepted at the end of a drain
   bool closed = false;
 };
@@ -380,6 +418,12 @@
 void Server::Start() { this->Accept(); }
 
 void Server::Accept() {
+  using core::overload::ConnectionDecision;
+  if (this->Decide() == ConnectionDecision::kWait) {
+    this->ReportAcceptFailure(std::string(kTooManyConnections));
+    this->timers.After(kAcceptRetryDelay, [this] { this->Accept(); });
+    return;
+  }
   this->acceptor.async_accept(
       [this](const boost::system::error_code& error, tcp::socket socket) {
         if (error == asio::error::operation_aborted ||
@@ -396,9 +440,53 @@
       });
 }
 
+core::overload::ConnectionDecision Server::Decide() const {
+  using core::overload::ConnectionDecision;
+  if (!this->options.connection_bounds) {
+    return ConnectionDecision::kTake;
+  }
+  const core::Instant now = Now();
+  return core::overload::DecideConnection(
+      this->options.connection_bounds(),
+      {.open = this->connections.size(),
+       .idle_for = this->idle.longest_wait(now),
+       .arriving_for = this->arriving.longest_wait(now)});
+}
+
+bool Server::CloseOldest(const WaitingConnections& waiting) {
+  ServerConnection* const oldest =
+      waiting.FindOldest(kMaxInspected, [](const ServerConnection& connection) {
+        return !connection.has_unread_input();
+      });
+  if (oldest == nullptr) {
+    return false;
+  }
+  oldest->Close();
+  return true;
+}
+
 void Server::AddConnection(tcp::socket socket) {
+  using core::overload::ConnectionDecision;
   const auto connection =
       std::make_shared<ServerConnection>(*this, std::move(socket));
+  switch (this->Decide()) {
+    case ConnectionDecision::kTake:
+      break;
+    case ConnectionDecision::kReplaceIdle:
+      if (!CloseOldest(this->idle)) {
+        connection->RefuseRequest();
+      }
+      break;
+    case ConnectionDecision::kReplaceArriving:
+      if (!CloseOldest(this->arriving)) {
+        connection->RefuseRequest();
+      }
+      break;
+    case ConnectionDecision::kTakeToRefuse:
+    case ConnectionDecision::kWait:
+      connection->RefuseRequest();
+      break;
+  }
   this->connections.insert(connection);
   connection->Start();
 }
@@ -412,12 +500,6 @@
   }
 }
 
-std::size_t Server::idle_connection_count() const {
-  return static_cast<std::size_t>(std::count_if(
-      this->connections.begin(), this->connections.end(),
-      [](const auto& connection) { return connection->is_idle(); }));
-}
-
 void Server::AcceptQueued() {
   boost::system::error_code error;
   this->acceptor.cancel(error);
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -8,12 +8,14 @@
 #include <sstream>
 
 #include "lycheewell/core/membership/retired_starts.h"
+#include "lycheewell/core/overload/connection_admission.h"
 #include "lycheewell/core/overload/demand_sums.h"
 #include "lycheewell/core/overload/known_limits.h"
 #include "lycheewell/io/http/address.h"
 #include "lycheewell/sidecar/clock.h"
 #include "lycheewell/sidecar/counters.h"
 #include "lycheewell/sidecar/decision_log.h"
+#include "lycheewell/sidecar/descriptor_limit.h"
 #include "lycheewell/sidecar/http/server.h"
 #include "lycheewell/sidecar/links/accepted_calls.h"
 #include "lycheewell/sidecar/links/mesh.h"
@@ -85,6 +87,10 @@
 // refused with status 413.
 constexpr std::uint64_t kMaxBodyBytes = 8ULL * 1024 * 1024;
 
+// Bounds of each server for the platform and the target.
+constexpr core::overload::ConnectionBounds kServiceConnections{.usual = 28,
+                                                               .most = 32};
+
 std::uint64_t Microseconds(core::Duration duration) {
   return static_cast<std::uint64_t>(
       std::chrono::duration_cast<std::chrono::microseconds>(duration).count());
@@ -170,11 +176,13 @@
 
   void Run() {
     const Settings& settings = this->options.settings;
-    this->log.Write(Event::kStarted, {{"name", settings.name},
-                                      {"address", settings.address},
-                                      {"data_centre", settings.data_centre},
-                                      {"service", settings.target_service},
-                                      {"store", settings.store_address}});
+    this->log.Write(Event::kStarted,
+                    {{"name", settings.name},
+                     {"address", settings.address},
+                     {"data_centre", settings.data_centre},
+                     {"service", settings.target_service},
+                     {"store", settings.store_address},
+                     {"descriptors", std::to_string(this->descriptor_limit)}});
     this->manifest.reader_rank = [this] {
       return this->mesh.rank_in_data_centre(kStoreReaderRole);
     };
@@ -215,6 +223,7 @@
                 [this, address](const http::AcceptFailure& failure) {
                   this->OnAcceptFailure(address, failure);
                 },
+            .connection_bounds = [] { return kServiceConnections; },
             .body_budget = this->request_bodies};
   }
 
@@ -234,6 +243,12 @@
                         [this](const http::ExchangePointer& exchange) {
                           this->front.Serve(exchange);
                         });
+    server.connection_bounds = [this] {
+      return core::overload::ClientConnectionBounds(
+          {.limit = this->descriptor_limit,
+           .peers = this->mesh.daemon_count() - 1,
+           .target_slots = static_cast<std::size_t>(this->gate.slot_count())});
+    };
     server.is_behind = [this] { return this->loop_monitor.is_behind(); };
     server.time_limit = [this](const io::http::Request& head) {
       return this->front.TimeLimitOf(head);
@@ -922,6 +937,7 @@
   }
 
   SidecarOptions options;
+  std::size_t descriptor_limit = DescriptorLimit();
   // Bodies of the requests that this daemon has read and not yet answered.
   http::ByteBudgetPointer request_bodies =
       std::make_shared<http::ByteBudget>(kRequestBodyBytes);
