Client server: a client that left before its connection was accepted is not served

A request that had waited in the kernel's queue was passed on although its client's close stood behind it: the daemon looked for the close only while its loop ran late, and a full queue of connections does not make it late. The first request of a connection is now served only if its client is still there; later ones can't have waited there. The server's test failed before (2 served, 1 allowed) and holds.

--- a/packages/sidecar/src/http/server.cpp
+++ b/packages/sidecar/src/http/server.cpp
@@ -316,11 +316,11 @@
       return;
     }
     this->StopWaiting();
-    if (this->server.options.is_behind && this->server.options.is_behind() &&
-        this->HasClientLeft()) {
+    if (this->MayBeReadLate() && this->HasClientLeft()) {
       this->Close();
       return;
     }
+    this->is_first_request = false;
     if (this->refuses) {
       this->Reject(503, kTooManyConnections,
                    std::string(kNoConnectionRetryAfter));
@@ -335,6 +335,12 @@
     this->server.options.handler(this->exchange);
   }
 
+  // The first request may have waited unread until its connection was accepted.
+  bool MayBeReadLate() const {
+    return this->is_first_request ||
+           (this->server.options.is_behind && this->server.options.is_behind());
+  }
+
   // Looks for the end of the connection behind the bytes that have been read.
   bool HasClientLeft() {
     char next = 0;
@@ -380,6 +386,7 @@
   bool rejected = false;
   bool lingering = false;
   bool refuses = false;  // one connection too many
+  bool is_first_request = true;
   bool expecting_request = false;  // accepted at the end of a drain
   bool closed = false;
 };
