Client server: a connection that made room during a drain isn't drained again

Taking the queued connections at the end of a drain may close idle ones to make room; they were still in the list of those to end, and would have been entered among the waiting connections after their end. Found by reading.

--- a/packages/sidecar/src/http/server.cpp
+++ b/packages/sidecar/src/http/server.cpp
@@ -94,7 +94,7 @@
   // Ends an idle connection; a request that has arrived by now is still
   // served.
   void CloseWhenIdle() {
-    if (this->buffer.size() > 0 || this->has_unread_input()) {
+    if (this->closed || this->buffer.size() > 0 || this->has_unread_input()) {
       return;  // the pending read delivers the request
     }
     this->Linger();
