Tests: a long poll of the store's stand-in ends by the clock

The stand-in counted its wait in sleeps of 10 ms, 67 for a poll of 667 ms; the daemons give up after 1,667 ms.

--- a/tests/harness/store.cpp
+++ b/tests/harness/store.cpp
@@ -125,10 +125,12 @@
     co_return io::http::MakeJson(Status::ok, this->Newest(topic));
   }
   const auto from = std::stoul(io::http::QueryValue(target.query, "from"));
-  const int wait_ms = std::stoi(io::http::QueryValue(target.query, "waitMs"));
-  for (int waited = 0;; waited += 10) {
+  const auto end =
+      std::chrono::steady_clock::now() +
+      milliseconds(std::stoi(io::http::QueryValue(target.query, "waitMs")));
+  for (;;) {
     std::string body = this->Records(topic, from);
-    if (!body.empty() || waited >= wait_ms) {
+    if (!body.empty() || std::chrono::steady_clock::now() >= end) {
       co_return io::http::MakeResponse(
           Status::ok, "application/octet-stream",
           BigEndian(this->EndOf(topic), 8) + BigEndian(0, 8) + body);
