--- a/tests/harness/sidecar_vm.cpp
+++ b/tests/harness/sidecar_vm.cpp
@@ -23,6 +23,16 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+namespace {
+
+// Created and destroyed by the thread of the test.
+std::set<SidecarVm*>& Registry() {
+  static std::set<SidecarVm*> registry;
+  return registry;
+}
+
+}  // namespace
+
 SidecarTarget::SidecarTarget(int new_port) : port(new_port) {
   this->supervisor = std::thread([this] { this->Supervise(); });
 }
@@ -137,9 +147,15 @@
                  .string()) {
   this->target.emplace(this->base_port + 3);
   this->Start();
+  Registry().insert(this);
+}
+
+SidecarVm::~SidecarVm() {
+  Registry().erase(this);
+  std::filesystem::remove_all(this->folder);
 }
 
-SidecarVm::~SidecarVm() { std::filesystem::remove_all(this->folder); }
+const std::set<SidecarVm*>& SidecarVm::All() { return Registry(); }
 
 void SidecarVm::Start() {
   std::filesystem::create_directories(this->folder);
--- a/tests/harness/sidecar_vm.h
+++ b/tests/harness/sidecar_vm.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
 
@@ -112,6 +113,8 @@
 
   bool IsReady();
   std::string Log();
+  // Those that exist now.
+  static const std::set<SidecarVm*>& All();
 
   int base_port;
   std::string name;
