Work-ends tests: wait until requests get to the announced target

Seen once beside load: 503 for 504, for both requests of 'Work ends at the route's time-out, at a target on another VM'.

Cause: the fixture waited 100 ms after the announcement. A request that comes before the other VM's daemon has heard of the target is refused at once ('no target', which is true).

The fixture now sends requests until one is answered, and has the target close that connection, so that the checks begin with a new one as before.

--- a/tests/sidecar/abandoned_work_test.cpp
+++ b/tests/sidecar/abandoned_work_test.cpp
@@ -85,9 +85,22 @@
     this->proxy_thread.join();
   }
 
-  void Announce(Vm& vm) {
+  void Report(Vm& vm) {
     REQUIRE(vm.AnnounceAs(1, ++this->reports, "ready") == 200);
-    std::this_thread::sleep_for(milliseconds(100));
+  }
+
+  // Returns when requests at the first VM get to the target of `vm`, which must
+  // be the only one. The connection of the request that shows it is not kept.
+  void Announce(Vm& vm) {
+    WorkingTarget& target = &vm == &this->first ? *this->near : *this->far;
+    target.work_ms = 0;
+    target.SetHeaderLines("Connection: close\r\n");
+    this->Report(vm);
+    REQUIRE(Eventually([this] {
+      return this->first.Call("/look/1", "k1", Verb::get).status == 200;
+    }));
+    target.SetHeaderLines("");
+    target.work_ms = -1;
   }
 
   int reports = 0;
@@ -127,7 +140,7 @@
     fixture.near->calls_port = fixture.first.base_port;
     client.Send("/scan/calls/1");
     WaitUntilAtWork(*fixture.near);
-    fixture.Announce(fixture.second);
+    fixture.Report(fixture.second);
     REQUIRE(Eventually(
         [&] { return fixture.near->at_work() + fixture.far->at_work() > 1; }));
     client.Leave();
@@ -205,6 +218,7 @@
     boost::asio::ip::tcp::socket client(context);
     client.connect(
         io::http::ParseEndpoint(LoopbackAddress(fixture.first.base_port)));
+    const int arrivals_before = fixture.near->arrivals();
     const auto begin = steady_clock::now();
     boost::asio::write(
         client,
@@ -226,7 +240,7 @@
                               "\r\n");
       CHECK(answer.starts_with("HTTP/1.1 408"));
       CHECK(steady_clock::now() - begin < kRouteTimeout + kBound);
-      CHECK(fixture.near->arrivals() == 0);
+      CHECK(fixture.near->arrivals() == arrivals_before);
     }
   }
 }
@@ -237,6 +251,7 @@
           "[sidecar][abandoned]") {
   Fixture fixture;
   fixture.Announce(fixture.first);
+  const int arrivals_before = fixture.near->arrivals();
   Client client(fixture.first);
   fixture.first.process->Signal(SIGSTOP);
   SECTION("a safe one") { client.Send("/scan/1"); }
@@ -246,5 +261,5 @@
   std::this_thread::sleep_for(milliseconds(600));
   fixture.first.process->Signal(SIGCONT);
   std::this_thread::sleep_for(milliseconds(500));
-  CHECK(fixture.near->arrivals() == 0);
+  CHECK(fixture.near->arrivals() == arrivals_before);
 }
