Client server: requests sent ahead are read as they were sent

Cause: the server read into the buffer that it consumed from. When all bytes before a pending read had been used up, the buffer began again at its front while the read still filled the place behind, so that old bytes were parsed anew: requests were repeated, cut and mixed, and a key or a body could land in another request.

Change: a connection waits until it is readable and then reads into a buffer of the server's that holds nothing between two reads. The bound of bytes sent ahead is also looked at after an answer. The other readers were checked for the same pattern: connections to targets and the store, links, and the own path's server read and consume in turn.

--- a/packages/sidecar/include/lycheewell/sidecar/http/server.h
+++ b/packages/sidecar/include/lycheewell/sidecar/http/server.h
@@ -2,6 +2,7 @@
 #ifndef LYCHEEWELL_SIDECAR_HTTP_SERVER_H_
 #define LYCHEEWELL_SIDECAR_HTTP_SERVER_H_
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
@@ -112,6 +113,9 @@
 
 class Server {
  public:
+  // Most bytes that are read from a connection at once.
+  static constexpr std::size_t kReadSize = 8 * 1024;
+
   // Binds the endpoint; throws boost::system::system_error on failure.
   Server(boost::asio::io_context& context, TimerQueue& timers,
          ServerOptions options);
@@ -152,6 +156,8 @@
   WaitingConnections idle;      // without a request
   WaitingConnections arriving;  // with an incomplete request
   bool draining = false;
+  // What a connection has just read; all of them use it in turn.
+  std::array<char, kReadSize> input{};
 };
 
 }  // namespace lycheewell::sidecar::http
--- a/packages/sidecar/src/http/server.cpp
+++ b/packages/sidecar/src/http/server.cpp
@@ -19,8 +19,6 @@
 
 namespace {
 
-constexpr std::size_t kReadSize = 8 * 1024;
-
 // Bytes of pipelined requests that are buffered while a request is served.
 constexpr std::size_t kMaxPipelinedBytes = 64 * 1024;
 
@@ -71,6 +69,8 @@
   ServerConnection(Server& new_server, tcp::socket new_socket)
       : server(new_server), socket(std::move(new_socket)) {
     SetSocketOptions(this->socket);
+    boost::system::error_code ignored;  // reads fail then, and it is closed
+    this->socket.non_blocking(true, ignored);
   }
 
   void Start() {
@@ -217,9 +217,7 @@
     this->server.idle.Add(this, Now());
     this->StartTimer(this->Limits().idle_timeout + kIdleTimeoutMargin);
     this->Consume();
-    if (!this->reading && !this->closed) {
-      this->Read();
-    }
+    this->ReadOn();
   }
 
   // Closes the connection after the client has had time to read the answer.
@@ -227,6 +225,7 @@
     boost::system::error_code ignored;
     this->socket.shutdown(tcp::socket::shutdown_send, ignored);
     this->lingering = true;
+    this->buffer.consume(this->buffer.size());
     this->server.idle.Add(this, Now());
     this->StartTimer(kLingerTime);
     if (!this->reading) {
@@ -234,32 +233,48 @@
     }
   }
 
+  // Only waits: no read into `buffer` may be pending while it is consumed.
   void Read() {
     this->reading = true;
-    this->socket.async_read_some(
-        this->buffer.prepare(kReadSize),
-        [self = this->shared_from_this()](
-            const boost::system::error_code& error, std::size_t size) {
-          self->reading = false;
-          if (self->closed) {
-            return;
-          }
-          if (error) {
-            self->Close();
-            return;
-          }
-          self->buffer.commit(size);
-          self->read_at = Now();
-          if (self->lingering) {
-            self->buffer.consume(self->buffer.size());
-          } else {
-            self->Consume();
-          }
-          if (!self->closed && !self->reading &&
-              self->buffer.size() < kMaxPipelinedBytes) {
-            self->Read();
-          }
-        });
+    this->socket.async_wait(tcp::socket::wait_read,
+                            [self = this->shared_from_this()](
+                                const boost::system::error_code& error) {
+                              self->reading = false;
+                              if (self->closed) {
+                                return;
+                              }
+                              if (error) {
+                                self->Close();
+                                return;
+                              }
+                              self->TakeInput();
+                            });
+  }
+
+  void TakeInput() {
+    auto& input = this->server.input;
+    boost::system::error_code error;
+    const std::size_t size = this->socket.read_some(asio::buffer(input), error);
+    if (error && error != asio::error::would_block) {
+      this->Close();
+      return;
+    }
+    if (size > 0 && !this->lingering) {
+      asio::buffer_copy(this->buffer.prepare(size),
+                        asio::buffer(input.data(), size));
+      this->buffer.commit(size);
+      this->read_at = Now();
+      this->Consume();
+    }
+    this->ReadOn();
+  }
+
+  // Reads on unless the client has sent enough requests ahead.
+  void ReadOn() {
+    if (!this->closed && !this->reading &&
+        this->buffer.size() < kMaxPipelinedBytes) {
+      this->Read();
+    }
   }
 
   void Consume() {
