Cold targets: decisions, decoding, gate and frontends

Cause: a target that is cold stands a few requests a second and crashes above, but got its usual load: nobody held the rate that the manifest states.

Change: ColdStart, kept beside the target, admits no more than the rate in any second and doubles it in steps afterwards; RankedTokens, moved out of NamedLimit unchanged, says which requests. ColdWatch informs it from announcements, health checks and silence. The load names the rate and each sender's share; senders treat the rate as a limit and pace themselves by the share.

--- a/packages/core/include/lycheewell/core/manifest/manifest.h
+++ b/packages/core/include/lycheewell/core/manifest/manifest.h
@@ -41,6 +41,10 @@
   std::string name;
   std::string health_path;
   std::uint32_t max_connections = 0;  // per target; 0: not specified
+  // A target is cold for this long after its start. Meanwhile all daemons
+  // together send it at most the rate; 0: no limit.
+  Duration cold_duration{};
+  double cold_rate_per_second = 0;
 
   bool operator==(const Service&) const = default;
 };
--- a/packages/core/include/lycheewell/core/overload/named_limit.h
+++ b/packages/core/include/lycheewell/core/overload/named_limit.h
@@ -3,9 +3,9 @@
 #ifndef LYCHEEWELL_CORE_OVERLOAD_NAMED_LIMIT_H_
 #define LYCHEEWELL_CORE_OVERLOAD_NAMED_LIMIT_H_
 
-#include <map>
 #include <optional>
 
+#include "lycheewell/core/overload/ranked_tokens.h"
 #include "lycheewell/core/types.h"
 
 namespace lycheewell::core::overload {
@@ -32,10 +32,8 @@
   // The target has been replaced by another start.
   void Reset() { *this = NamedLimit(); }
 
-  // Takes a request of `rank` into the limit or refuses it; lower ranks are
-  // more important. The more important requests may use the whole burst, the
-  // less important ones leave a part of it. A rank that is passed over again
-  // and again gets every kHighestRankInterval-th place.
+  // Takes a request of `rank` into the limit or refuses it, as RankedTokens
+  // does.
   bool Admit(int rank, Instant now);
 
   // An admitted request was not sent.
@@ -50,19 +48,10 @@
   Duration refusal_backoff() const;
 
  private:
-  struct RankState {
-    Instant seen_at;
-    // Requests of other ranks that were admitted since this one was refused.
-    int passed_over = 0;
-  };
-
   // Requests per second that are admitted: a limit of 0 must not keep the
   // target from naming another.
   double Rate() const;
-  double Burst() const;
-  void Refill(Instant now);
-  // Tokens that a request of `rank` must find.
-  double Needed(int rank, Instant now);
+  RankedTokens::Rate TokenRate() const;
   void CountRefusal(Instant now);
   bool Set(std::optional<double> per_second, Instant now);
 
@@ -71,9 +60,7 @@
   std::optional<Instant> announced_at;
   Instant named_at;  // the last time at this limit or below
   bool has_answered = false;
-  double tokens = 0;
-  Instant refilled_at;
-  std::map<int, RankState> ranks;  // of the last seconds
+  RankedTokens tokens;
   double backoff_seconds = 0;
   int refusals = 0;  // since `counted_from`
   Instant counted_from;
--- a/packages/core/include/lycheewell/core/routing/target_selector.h
+++ b/packages/core/include/lycheewell/core/routing/target_selector.h
@@ -12,6 +12,7 @@
 #include <string_view>
 
 #include "lycheewell/core/routing/limit_throttle.h"
+#include "lycheewell/core/routing/send_pace.h"
 #include "lycheewell/core/types.h"
 
 namespace lycheewell::core::routing {
@@ -28,6 +29,8 @@
   double failed_fraction = 0;
   // Requests per second that the target takes from all daemons together.
   std::optional<double> limit_per_second;
+  // Requests per second that one daemon should send at most.
+  std::optional<double> share_per_second;
 
   bool operator==(const TargetLoad&) const = default;
 };
@@ -96,7 +99,8 @@
                        Instant now);
 
   // The target with the lowest expected cost among those not in `excluded`. A
-  // target whose limit leaves no room for the rank is not chosen.
+  // target whose limit leaves no room for the rank, or whose share is used up,
+  // is not chosen.
   std::optional<Choice> Choose(std::string_view service,
                                const std::set<std::string>& excluded,
                                Instant now, RandomSource& random,
@@ -131,12 +135,16 @@
     Duration refused_wait{};
     Duration path_delay{};
     LimitThrottle throttle;
+    SendPace pace;  // while the target names a share
   };
 
   // Whether the target takes work, apart from its limit.
   static bool IsEligible(const Entry& entry) {
     return entry.target.accepts_work && entry.is_reachable;
   }
+  // Whether the target's limit and share leave room for a request.
+  static bool HasRoom(Entry& entry, int rank, Instant now,
+                      RandomSource& random);
   // Slots that count as capacity of the service.
   static double PlannedSlots(const Entry& entry);
 
--- a/packages/core/src/overload/named_limit.cpp
+++ b/packages/core/src/overload/named_limit.cpp
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <cmath>
 
-#include "lycheewell/core/overload/slot_gate.h"
-
 namespace lycheewell::core::overload {
 namespace {
 
@@ -17,9 +15,6 @@
 constexpr double kBurstSeconds = 0.5;
 constexpr double kMinBurst = 3;
 
-// A rank without a request for this long holds nothing back from others.
-constexpr Duration kRankLifetime = std::chrono::seconds(2);
-
 // A relative change of the limit from which on peers should hear of it before
 // their next load report.
 constexpr double kNoticeableChange = 0.2;
@@ -45,27 +40,20 @@
 
 double NamedLimit::Rate() const { return std::max(kMinRate, *this->limit); }
 
-double NamedLimit::Burst() const {
-  return std::max(kMinBurst, this->Rate() * kBurstSeconds);
-}
-
-void NamedLimit::Refill(Instant now) {
-  const double elapsed = std::max(0.0, Seconds(now - this->refilled_at));
-  this->refilled_at = now;
-  this->tokens = std::min(this->Burst(), this->tokens + elapsed * this->Rate());
+RankedTokens::Rate NamedLimit::TokenRate() const {
+  return {.per_second = this->Rate(),
+          .burst = std::max(kMinBurst, this->Rate() * kBurstSeconds)};
 }
 
 bool NamedLimit::Set(std::optional<double> per_second, Instant now) {
-  if (this->limit) {
-    this->Refill(now);
-  } else {
-    this->tokens = 1;
-    this->refilled_at = now;
-  }
+  const bool was_limited = this->limit.has_value();
   this->limit = per_second;
   if (!per_second) {
-    this->ranks.clear();
     this->backoff_seconds = 0;
+  } else if (was_limited) {
+    this->tokens.SetRate(this->TokenRate(), now);
+  } else {
+    this->tokens.Start(this->TokenRate(), 1, now);
   }
   const bool is_first = per_second && !this->announced_at;
   const bool has_changed =
@@ -103,54 +91,17 @@
   return this->Set(per_second, now);
 }
 
-double NamedLimit::Needed(int rank, Instant now) {
-  std::erase_if(this->ranks, [&](const auto& entry) {
-    return now - entry.second.seen_at > kRankLifetime;
-  });
-  this->ranks[rank].seen_at = now;
-  const int kept_for_passed_over = static_cast<int>(kHighestRankInterval) - 1;
-  if (this->ranks[rank].passed_over >= kept_for_passed_over) {
-    return 1;
-  }
-  const bool has_passed_over = std::any_of(
-      this->ranks.begin(), this->ranks.end(), [&](const auto& entry) {
-        return entry.second.passed_over >= kept_for_passed_over;
-      });
-  const auto more_important = static_cast<double>(
-      std::distance(this->ranks.begin(), this->ranks.find(rank)));
-  // Two requests that arrive together fit, whatever their ranks.
-  const double spare = this->Burst() - 2;
-  const double reserve =
-      spare * more_important / static_cast<double>(this->ranks.size());
-  return 1 + std::max(reserve, has_passed_over ? std::min(1.0, spare) : 0.0);
-}
-
 bool NamedLimit::Admit(int rank, Instant now) {
-  if (!this->limit) {
+  if (!this->limit || this->tokens.Take(rank, now)) {
     return true;
   }
-  this->Refill(now);
-  if (this->tokens < this->Needed(rank, now)) {
-    this->CountRefusal(now);
-    // Counting begins with the first refusal.
-    int& passed_over = this->ranks[rank].passed_over;
-    passed_over = std::max(1, passed_over);
-    return false;
-  }
-  this->tokens -= 1;
-  for (auto& [other, state] : this->ranks) {
-    if (other == rank) {
-      state.passed_over = 0;
-    } else if (state.passed_over > 0 && other > rank) {
-      ++state.passed_over;
-    }
-  }
-  return true;
+  this->CountRefusal(now);
+  return false;
 }
 
 void NamedLimit::Return() {
   if (this->limit) {
-    this->tokens = std::min(this->Burst(), this->tokens + 1);
+    this->tokens.Return();
   }
 }
 
--- a/packages/core/src/routing/target_selector.cpp
+++ b/packages/core/src/routing/target_selector.cpp
@@ -93,6 +93,9 @@
        *load.limit_per_second > kNoticeableRise * *limit_before)) {
     found->second.throttle = {};
   }
+  if (!load.share_per_second) {
+    found->second.pace = {};
+  }
   found->second.load = load;
   found->second.reported_at = now;
   found->second.sent_since_report = 0;
@@ -148,6 +151,14 @@
   }
 }
 
+bool TargetSelector::HasRoom(Entry& entry, int rank, Instant now,
+                             RandomSource& random) {
+  return (!entry.load.share_per_second ||
+          entry.pace.HasRoom(*entry.load.share_per_second, now, random)) &&
+         (!entry.load.limit_per_second ||
+          entry.throttle.Offer(rank, now, random));
+}
+
 double TargetSelector::PlannedSlots(const Entry& entry) {
   const double slots = entry.target.slots;
   if (!entry.load.limit_per_second) {
@@ -251,8 +262,7 @@
   for (const std::string& member : members->second) {
     Entry& entry = this->entries.at(member);
     if (!IsEligible(entry) || excluded.contains(member) ||
-        (entry.load.limit_per_second &&
-         !entry.throttle.Offer(options.rank, now, random))) {
+        !HasRoom(entry, options.rank, now, random)) {
       continue;
     }
     ++candidates;
@@ -280,6 +290,10 @@
   }
   if (best) {
     best->candidates = candidates;
+    Entry& chosen = this->entries.at(best->member);
+    if (chosen.load.share_per_second) {
+      chosen.pace.Spend(*chosen.load.share_per_second, now);
+    }
   }
   return best;
 }
--- a/packages/daemon/include/lycheewell/daemon/events/event_catalogue.h
+++ b/packages/daemon/include/lycheewell/daemon/events/event_catalogue.h
@@ -79,6 +79,9 @@
   kTargetUnreachable = 7103,
   kTargetLimitChanged = 7104,
   kTargetNoticeUnreadable = 7105,
+  kTargetCold = 7106,
+  kTargetWarm = 7107,
+  kTargetCheckFailed = 7108,
 
   kPlanMade = 8001,
   kChangeConfirmed = 8002,
--- a/packages/sidecar/include/lycheewell/sidecar/hooks.h
+++ b/packages/sidecar/include/lycheewell/sidecar/hooks.h
@@ -57,6 +57,16 @@
   bool operator==(const TargetAnswer&) const = default;
 };
 
+// A target's response to a health check.
+struct HealthAnswer {
+  bool is_healthy = false;
+  std::string instance;  // empty if it is not named
+  // How much longer the target is cold; nothing if that is unknown.
+  std::optional<core::Duration> cold_for;
+
+  bool operator==(const HealthAnswer&) const = default;
+};
+
 enum class TargetState { kTakesWork, kLeaving, kGone };
 
 // A target's report of its own state.
@@ -90,6 +100,7 @@
   std::function<TargetAnswer(const io::http::Response&)> decode_answer;
   std::function<std::variant<Announcement, Unusable>(const io::http::Request&)>
       decode_announcement;
+  std::function<HealthAnswer(const io::http::Response&)> decode_health;
   std::function<bool(const io::http::Request&)> is_readiness_check;
   std::function<std::variant<core::manifest::Manifest, Unusable>(
       std::string_view document)>
--- a/packages/sidecar/include/lycheewell/sidecar/http/client_connection.h
+++ b/packages/sidecar/include/lycheewell/sidecar/http/client_connection.h
@@ -49,6 +49,9 @@
     // Says whether a response belongs to this request. Others are discarded.
     std::function<bool(const io::http::Response&)> is_matching_response;
     std::function<void(ExchangeOutcome)> done;
+    // Optional. Called when the connection is open and the message is handed to
+    // it, possibly from within Start().
+    std::function<void()> on_written;
   };
 
   // `body_budget` bounds the response bodies of all connections that share it;
--- a/packages/sidecar/include/lycheewell/sidecar/manifest/manifest_keeper.h
+++ b/packages/sidecar/include/lycheewell/sidecar/manifest/manifest_keeper.h
@@ -44,6 +44,9 @@
   // A daemon that ranks before this one has read the store.
   void OnReadOfBetter() { this->standby.RecordReadOfBetter(); }
 
+  // Called after each adoption, wherever the manifest has come from.
+  std::function<void()> on_adopted;
+
   // Called after this daemon has adopted a manifest from the store on behalf of
   // the others.
   std::function<void()> on_change;
--- a/packages/sidecar/include/lycheewell/sidecar/requests/gate.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/gate.h
@@ -24,6 +24,7 @@
 #include "lycheewell/sidecar/decision_log.h"
 #include "lycheewell/sidecar/hooks.h"
 #include "lycheewell/sidecar/http/client_connection.h"
+#include "lycheewell/sidecar/requests/cold_watch.h"
 #include "lycheewell/sidecar/requests/quarantine.h"
 #include "lycheewell/sidecar/settings.h"
 #include "lycheewell/sidecar/timer_queue.h"
@@ -99,6 +100,8 @@
     // When a call made by the target last failed for any reason.
     std::function<core::Instant()> last_failed_call;
     Quarantine& quarantine;
+    // Daemons that may send requests to the target, this one included.
+    std::function<std::size_t()> daemon_count;
   };
 
   Gate(boost::asio::io_context& context, TimerQueue& timers, DecisionLog& log,
@@ -130,6 +133,15 @@
   // Records that `start` had named a limit, as peers remember.
   void RecallLimit(const core::DaemonRef& start, double per_second);
 
+  // What the manifest says of the target's service; null: nothing.
+  void Configure(const core::manifest::Service* service) {
+    this->cold.Configure(service);
+  }
+
+  // The target may have become cold for the reason given: until it shows
+  // otherwise it gets no more requests than a cold one.
+  void AssumeCold(std::string_view reason) { this->cold.Assume(reason); }
+
   // Refuses new work because this daemon stops.
   void BeginDrain();
 
@@ -137,6 +149,7 @@
 
   mesh::Target DescribeTarget() const;
   mesh::Load DescribeLoad() const;
+  const ColdWatch& cold_watch() const { return this->cold; }
   std::size_t running() const { return this->running_calls; }
   int slot_count() const { return this->slots.slots(); }
   bool accepts_work() const;
@@ -167,6 +180,8 @@
     bool is_abandoned = false;
     bool is_suspect = false;         // admitted as the target's only suspect
     bool holds_limit_token = false;  // of the target's limit, not sent yet
+    bool holds_cold_place = false;   // of ColdWatch, not written yet
+    std::optional<core::Instant> written_at;  // to the target
   };
 
   // The end of a run whose connection broke. It is held back until it is known
@@ -176,6 +191,7 @@
     GateReply reply;
   };
 
+  ColdWatch::Options ColdWatchOptions();
   core::Duration MeanWorkOf(const std::string& route) const;
   // Runs, queues or refuses a call by the slots of the target.
   void OfferSlot(Ticket ticket);
@@ -187,6 +203,7 @@
   core::Instant LatestStart(const GateCall& call) const;
   void RecordRun(const Call& call, GateReply& reply, core::Instant now);
   void Run(Ticket ticket);
+  void OnWritten(Ticket ticket);
   // Accounts for the end of a running call.
   void ReleaseSlot(Ticket ticket, const Call& call, core::Instant now);
   void Finish(Ticket ticket, http::ExchangeOutcome outcome);
@@ -248,8 +265,8 @@
   Announcement target;  // the latest announcement
   TargetState state = TargetState::kGone;
   core::Instant announced_at;
-  core::Instant cold_until;
   core::membership::TargetStarts starts;
+  ColdWatch cold;
   bool draining = false;
 };
 
--- a/packages/sidecar/src/http/client_connection.cpp
+++ b/packages/sidecar/src/http/client_connection.cpp
@@ -96,6 +96,9 @@
 void ClientConnection::Write() {
   this->writing = true;
   this->sent_any = true;
+  if (this->current->on_written) {
+    this->current->on_written();
+  }
   asio::async_write(this->socket, asio::buffer(*this->outgoing),
                     [self = this->shared_from_this(), message = this->outgoing](
                         const boost::system::error_code& error, std::size_t) {
--- a/packages/sidecar/src/manifest/manifest_keeper.cpp
+++ b/packages/sidecar/src/manifest/manifest_keeper.cpp
@@ -135,6 +135,9 @@
        {"before", std::to_string(before)},
        {"source", source},
        {"routes", std::to_string(this->current->manifest().routes.size())}});
+  if (this->on_adopted) {
+    this->on_adopted();
+  }
   return true;
 }
 
--- a/packages/sidecar/src/requests/frontend.cpp
+++ b/packages/sidecar/src/requests/frontend.cpp
@@ -463,6 +463,20 @@
   }
 }
 
+namespace {
+
+// The lower one of the limit that a target names and of its rate while cold.
+std::optional<double> LimitOf(const mesh::Load& load) {
+  if (!load.has_limit_per_second() || !load.has_cold_per_second()) {
+    return load.has_limit_per_second()  ? std::optional(load.limit_per_second())
+           : load.has_cold_per_second() ? std::optional(load.cold_per_second())
+                                        : std::nullopt;
+  }
+  return std::min(load.limit_per_second(), load.cold_per_second());
+}
+
+}  // namespace
+
 void Frontend::ReportLoad(const std::string& member, const mesh::Load& load) {
   constexpr double kPermille = 1000.0;
   this->targets.RecordLoad(
@@ -471,8 +485,9 @@
        .waiting = static_cast<int>(load.waiting()),
        .mean_work = std::chrono::microseconds(load.mean_work_us()),
        .failed_fraction = load.failing_permille() / kPermille,
-       .limit_per_second = load.has_limit_per_second()
-                               ? std::optional(load.limit_per_second())
+       .limit_per_second = LimitOf(load),
+       .share_per_second = load.has_cold_share_per_second()
+                               ? std::optional(load.cold_share_per_second())
                                : std::nullopt},
       Now());
 }
--- a/packages/sidecar/src/requests/gate.cpp
+++ b/packages/sidecar/src/requests/gate.cpp
@@ -109,10 +109,35 @@
       answer_bodies(std::make_shared<http::ByteBudget>(kAnswerBodyBytes)),
       starts(
           {.overdue_after = std::chrono::duration_cast<core::Duration>(
-               this->options.settings.announcement_period * kOverduePeriods)}) {
+               this->options.settings.announcement_period * kOverduePeriods)}),
+      cold(this->timers, this->log, this->ColdWatchOptions()) {
   this->CheckAnnouncements();
 }
 
+ColdWatch::Options Gate::ColdWatchOptions() {
+  constexpr bool kIsIdempotent = true;
+  return {
+      .settings = this->options.settings,
+      .dialect = this->options.dialect,
+      .take_connection = [this] { return this->TakeConnection(kIsIdempotent); },
+      .return_connection =
+          [this](std::shared_ptr<http::ClientConnection> connection) {
+            this->ReturnConnection(std::move(connection));
+          },
+      .instance = [this] { return this->target.instance; },
+      .takes_work = [this] { return this->accepts_work(); },
+      .mean_work = [this] { return this->slots.mean_work(); },
+      .daemon_count = this->options.daemon_count,
+      .on_change =
+          [this](core::overload::Warmth warmth) {
+            this->options.on_change();
+            if (warmth == core::overload::Warmth::kCold) {
+              // They were admitted at the rate of a warm target.
+              this->RefuseWaiting(kOverLimit);
+            }
+          }};
+}
+
 bool Gate::accepts_work() const {
   // After a pause of the daemon, the timer that notices missed announcements
   // may not have run yet.
@@ -204,8 +229,15 @@
 
 void Gate::EraseCall(Ticket ticket) {
   const auto found = this->calls.find(ticket);
-  if (found != this->calls.end() && found->second.holds_limit_token) {
-    this->limit.Return();
+  if (found != this->calls.end()) {
+    if (found->second.holds_limit_token) {
+      this->limit.Return();
+    }
+    if (found->second.holds_cold_place) {
+      this->cold.Return();
+    } else if (found->second.written_at) {
+      this->cold.OnDone(*found->second.written_at);
+    }
   }
   this->calls.erase(ticket);
   if (this->suspect == ticket) {
@@ -219,6 +251,11 @@
   const core::Instant now = Now();
   Call& call = this->calls.at(ticket);
   const GateCall& request = call.request;
+  if (!this->cold.Admit(request.rank)) {
+    this->Refuse(ticket, kOverLimit, kNoRetryDelay);
+    return;
+  }
+  call.holds_cold_place = true;
   if (!this->limit.Admit(request.rank, now)) {
     this->Refuse(ticket, kOverLimit, this->limit.refusal_backoff());
     return;
@@ -344,7 +381,18 @@
        .done =
            [this, ticket](http::ExchangeOutcome outcome) {
              this->Finish(ticket, std::move(outcome));
-           }});
+           },
+       .on_written = [this, ticket] { this->OnWritten(ticket); }});
+}
+
+void Gate::OnWritten(Ticket ticket) {
+  const auto found = this->calls.find(ticket);
+  if (found != this->calls.end()) {
+    found->second.holds_cold_place = false;
+    found->second.written_at = Now();
+    constexpr bool kWasAdmitted = true;
+    this->cold.OnWritten(kWasAdmitted);
+  }
 }
 
 // The work of a service's routes differs by large factors, so a mean over all
@@ -409,6 +457,7 @@
   GateReply reply;
   bool is_sample = false;
   if (auto* response = std::get_if<io::http::Response>(&outcome)) {
+    this->cold.OnHeard();
     TargetAnswer answer = this->options.dialect.decode_answer(*response);
     this->TakeNotices(call, answer);
     if (answer.has_not_run) {
@@ -511,6 +560,8 @@
               this->state == TargetState::kTakesWork) {
             this->ConfirmCrash();
             this->SetState(TargetState::kGone, "crashed");
+          } else if (result != http::ConnectResult::kRefused) {
+            this->AssumeCold("all connections broke");
           }
           this->ReleaseBrokenRuns();
         });
@@ -749,8 +800,13 @@
       this->recalled_limits.clear();
     }
   }
+  const bool has_come_back =
+      !is_new_start &&
+      (this->state == TargetState::kGone ||
+       now - this->announced_at >
+           this->options.settings.announcement_period * kOverduePeriods);
   this->announced_at = now;
-  this->cold_until = now + announcement.cold_for;
+  this->cold.OnAnnouncement(announcement.cold_for, is_new_start, has_come_back);
   if (has_new_slot_count || is_new_start) {
     this->slots.Resize({.slots = static_cast<int>(this->target.slots)});
   }
@@ -795,6 +851,7 @@
   if (const auto per_second = this->limit.per_second()) {
     load.set_limit_per_second(*per_second);
   }
+  this->cold.DescribeLoad(load);
   return load;
 }
 
@@ -813,9 +870,8 @@
   } else {
     description.set_state(mesh::GONE);
   }
-  const auto cold = this->cold_until - Now();
   description.set_cold_ms(
-      static_cast<std::uint32_t>(Microseconds(cold) / 1000));
+      static_cast<std::uint32_t>(Microseconds(this->cold.cold_for()) / 1000));
   *description.mutable_load() = this->DescribeLoad();
   return description;
 }
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -141,7 +141,8 @@
                   [this] { return this->front.last_starved_call(); },
               .last_failed_call =
                   [this] { return this->front.last_failed_call(); },
-              .quarantine = this->quarantine}),
+              .quarantine = this->quarantine,
+              .daemon_count = [this] { return this->mesh.daemon_count(); }}),
         front(this->timers, this->log,
               {.settings = this->options.settings,
                .dialect = this->options.dialect,
@@ -186,6 +187,10 @@
     this->manifest.reader_rank = [this] {
       return this->mesh.rank_in_data_centre(kStoreReaderRole);
     };
+    this->manifest.on_adopted = [this] {
+      this->gate.Configure(this->manifest.table()->FindService(
+          this->options.settings.target_service));
+    };
     this->manifest.on_change = [this] { this->BroadcastManifest(); };
     this->manifest.on_proof = [this] {
       this->mesh.BroadcastProofInDataCentre(
@@ -841,7 +846,11 @@
          << "\nlycheewell_target_mean_work_seconds "
          << static_cast<double>(load.mean_work_us()) / 1e6
          << "\nlycheewell_target_failing_part "
-         << load.failing_permille() / 1000.0 << "\n";
+         << load.failing_permille() / 1000.0
+         << "\nlycheewell_target_cold_seconds "
+         << Milliseconds(this->gate.cold_watch().cold_for()) / 1000.0
+         << "\nlycheewell_target_cold_refused_total "
+         << this->gate.cold_watch().refused() << "\n";
     for (const auto& decision : this->front.demand().Decisions()) {
       text << "lycheewell_entry_part{route=\"" << decision.route << "\"} "
            << decision.admitted_fraction << "\n";
--- a/tests/harness/sidecar_vm.cpp
+++ b/tests/harness/sidecar_vm.cpp
@@ -193,14 +193,15 @@
 }
 
 unsigned SidecarVm::AnnounceAs(int born, int report, const std::string& state,
-                               int slots) {
+                               int slots, int cold_ms) {
   return SendRequest(this->base_port + 1, Verb::post,
                      "/v1/instances/i-" + this->name + "/heartbeat", "",
                      R"({"born":)" + std::to_string(born) +
                          R"(,"info":{"service":"s","slots":)" +
                          std::to_string(slots) + R"(},"status":{"state":")" +
                          state + R"(","seq":)" + std::to_string(report) +
-                         R"(,"cold_time":"0ms"}})")
+                         R"(,"cold_time":")" + std::to_string(cold_ms) +
+                         R"(ms"}})")
       .status;
 }
 
--- a/tests/harness/sidecar_vm.h
+++ b/tests/harness/sidecar_vm.h
@@ -104,7 +104,7 @@
   unsigned Announce(const std::string& state);
   // Any start of it does.
   unsigned AnnounceAs(int born, int report, const std::string& state,
-                      int slots = 4);
+                      int slots = 4, int cold_ms = 0);
   unsigned Deregister();
   Reply Call(const std::string& target, const std::string& key = "k1",
              io::http::Verb verb = io::http::Verb::post);
--- a/tests/harness/working_target.cpp
+++ b/tests/harness/working_target.cpp
@@ -6,7 +6,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
+#include <iterator>
 #include <stdexcept>
 
 namespace lycheewell::harness {
@@ -79,6 +81,22 @@
   close(this->listener);
 }
 
+int WorkingTarget::MostInASecond(Clock::time_point begin) {
+  const std::lock_guard lock(this->mutex);
+  std::vector<Clock::time_point> times;
+  std::copy_if(this->arrival_times.begin(), this->arrival_times.end(),
+               std::back_inserter(times),
+               [&](const auto& time) { return time >= begin; });
+  std::sort(times.begin(), times.end());
+  std::ptrdiff_t most = 0;
+  for (auto first = times.begin(); first != times.end(); ++first) {
+    const auto end =
+        std::lower_bound(first, times.end(), *first + std::chrono::seconds(1));
+    most = std::max(most, end - first);
+  }
+  return static_cast<int>(most);
+}
+
 void WorkingTarget::Accept() {
   pollfd watched{.fd = this->listener, .events = POLLIN, .revents = 0};
   while (!this->has_ended) {
@@ -140,6 +158,10 @@
   ++this->arrived;
   ++this->working;
   const auto begin = Clock::now();
+  {
+    const std::lock_guard lock(this->mutex);
+    this->arrival_times.push_back(begin);
+  }
   const bool makes_call = head.find("/calls/") < head.find("\r\n");
   const int call = makes_call ? this->Call(head) : -1;
   bool is_closed = false;
--- a/tests/harness/working_target.h
+++ b/tests/harness/working_target.h
@@ -41,6 +41,8 @@
   // Requests that reached the target, and those that it is at work on.
   int arrivals() const { return this->arrived; }
   int at_work() const { return this->working; }
+  // The largest number of arrivals within any one second from `begin` on.
+  int MostInASecond(std::chrono::steady_clock::time_point begin);
 
  private:
   void Accept();
@@ -57,6 +59,7 @@
   int listener = -1;
   std::mutex mutex;
   std::string header_lines;
+  std::vector<std::chrono::steady_clock::time_point> arrival_times;
   std::atomic<int> arrived = 0;
   std::atomic<int> working = 0;
   std::atomic<bool> has_ended = false;
--- a/tests/platform/adapter_test.cpp
+++ b/tests/platform/adapter_test.cpp
@@ -148,6 +148,37 @@
   }
 }
 
+TEST_CASE("A health answer says whether the target is cold", "[platform]") {
+  const auto dialect = platform::MakeDialect();
+  Response response(io::http::Status::ok, 11);
+  response.set("Instance-Id", "i-1");
+  const auto cold_for = [&](const std::string& text) {
+    response.set("Cold-Ms", text);
+    return dialect.decode_health(response).cold_for;
+  };
+  CHECK(dialect.decode_health(response).instance == "i-1");
+  CHECK(dialect.decode_health(response).is_healthy);
+
+  SECTION("in milliseconds") {
+    CHECK(cold_for("2400") == milliseconds(2400));
+    CHECK(cold_for("0") == milliseconds(0));
+  }
+  SECTION("not at all, if it is healthy and warm") {
+    CHECK(dialect.decode_health(response).cold_for == milliseconds(0));
+  }
+  SECTION("but nothing if it is not healthy and names no time") {
+    response.result(503);
+    CHECK_FALSE(dialect.decode_health(response).is_healthy);
+    CHECK_FALSE(dialect.decode_health(response).cold_for);
+    CHECK(cold_for("2400") == milliseconds(2400));
+  }
+  SECTION("or unreadably, which says nothing") {
+    for (const std::string text : {"", "soon", "-1", "1e9", "99999999999"}) {
+      CHECK_FALSE(cold_for(text));
+    }
+  }
+}
+
 TEST_CASE("A target's response says that it leaves", "[platform]") {
   const auto dialect = platform::MakeDialect();
   Response response(io::http::Status::ok, 11);
@@ -221,6 +252,22 @@
                                               .burst = 64}});
   CHECK(decoded.limits.idle_timeout == std::chrono::seconds(15));
 
+  SECTION("a service may state how its cold targets are to be treated") {
+    const auto service = [&](const std::string& cold, const std::string& rate) {
+      const std::string table =
+          R"({"version":"r1","routes":{"columns":[],"rows":[]},"services":)"
+          R"({"columns":["name","cold","coldPerS"],"rows":[["s",)" +
+          cold + "," + rate + "]]}}";
+      return std::get<core::manifest::Manifest>(dialect.decode_manifest(table))
+          .services.at(0);
+    };
+    CHECK(service(R"("3s")", "17.5").cold_duration == std::chrono::seconds(3));
+    CHECK(service(R"("3s")", "17.5").cold_rate_per_second == 17.5);
+    CHECK(service("null", "null").cold_duration == milliseconds(0));
+    for (const std::string none : {"null", "0", "-3", R"("many")"}) {
+      CHECK(service(R"("3s")", none).cold_rate_per_second == 0);
+    }
+  }
   SECTION("uploads run at most once and have large bodies") {
     CHECK_FALSE(decoded.routes[2].is_idempotent);
     CHECK(decoded.routes[2].has_large_bodies);
