Evacuation and homes: in force at sidecars, planned in the own control path

Cause: the operators' records of evacuations were ignored, as were the regions of routes and client accounts. Change: store.cpp decodes evacuations from full reads and polls, with the store's era; EvacuationKeeper tells peers (Hello, Pong, a frame in the data centre) and puts them into force; the selector leaves evacuated targets out in steps; the gate refuses what still comes; routes and accounts have homes; 'lycheewell plan evacuate'.

--- a/packages/client/src/command_line.cpp
+++ b/packages/client/src/command_line.cpp
@@ -37,6 +37,8 @@
                         --importance high --idempotent --open
   lycheewell plan retire-target DAEMON [--gone]       no new work for a target
   lycheewell plan return-target DAEMON                takes a retirement back
+  lycheewell plan evacuate DATA-CENTRE                no new work for its targets
+  lycheewell plan end-evacuation DATA-CENTRE
   lycheewell undo --to OFFSET                         plan the way back
 
 Confirm:
@@ -223,6 +225,20 @@
       OneIntent(core::configuration::TargetObject(plan.name()), std::nullopt));
 }
 
+ExitCode PlanEvacuate(const Arguments& arguments) {
+  PlanCommand plan("keeps new work from a data centre", "data-centre");
+  plan.Parse(arguments);
+  return plan.Plan(OneIntent(
+      core::configuration::EvacuationObject(plan.name()), json::object{}));
+}
+
+ExitCode PlanEndEvacuation(const Arguments& arguments) {
+  PlanCommand plan("takes an evacuation back", "data-centre");
+  plan.Parse(arguments);
+  return plan.Plan(OneIntent(
+      core::configuration::EvacuationObject(plan.name()), std::nullopt));
+}
+
 ExitCode Undo(const Arguments& arguments) {
   Command command("plans the way back to an earlier state");
   TCLAP::ValueArg<std::uint64_t> to(
@@ -311,6 +327,8 @@
       {"plan route", PlanRoute},
       {"plan retire-target", PlanRetireTarget},
       {"plan return-target", PlanReturnTarget},
+      {"plan evacuate", PlanEvacuate},
+      {"plan end-evacuation", PlanEndEvacuation},
       {"undo", Undo},
       {"confirm", Confirm},
       {"status", Status},
--- a/packages/core/include/lycheewell/core/configuration/objects.h
+++ b/packages/core/include/lycheewell/core/configuration/objects.h
@@ -52,7 +52,12 @@
   bool operator==(const Retirement&) const = default;
 };
 
-using ObjectValue = std::variant<Account, Key, Route, Retirement>;
+// Keeps all new requests from the targets of a data centre.
+struct Evacuation {
+  bool operator==(const Evacuation&) const = default;
+};
+
+using ObjectValue = std::variant<Account, Key, Route, Retirement, Evacuation>;
 
 // Who changed an object, when and why. `offset` is the position of the change
 // record in the log; the object's revision is `offset` + 1.
--- a/packages/core/include/lycheewell/core/configuration/queries/view.h
+++ b/packages/core/include/lycheewell/core/configuration/queries/view.h
@@ -45,6 +45,8 @@
 
   bool IsRetired(std::string_view daemon_id) const;
 
+  bool IsEvacuated(std::string_view data_centre) const;
+
   // Members whose target serves `service`, ordered by daemon id.
   const std::vector<Member>& MembersOf(std::string_view service) const;
 
--- a/packages/core/include/lycheewell/core/configuration/record.h
+++ b/packages/core/include/lycheewell/core/configuration/record.h
@@ -16,7 +16,7 @@
 inline constexpr int kRecordFormat = 1;
 
 // A change of one object. Object names are "account/NAME", "key/ID",
-// "route/SERVICE METHOD PREFIX" and "target/DAEMON".
+// "route/SERVICE METHOD PREFIX", "target/DAEMON" and "evacuation/DATA CENTRE".
 struct ObjectChange {
   std::string object;
   // Revision that the change was planned on: the offset of the object's last
@@ -142,6 +142,7 @@
 std::string KeyObject(std::string_view key_id);
 std::string RouteObject(const Route& route);
 std::string TargetObject(std::string_view daemon_id);
+std::string EvacuationObject(std::string_view data_centre);
 
 }  // namespace lycheewell::core::configuration
 
--- a/packages/core/include/lycheewell/core/manifest/manifest.h
+++ b/packages/core/include/lycheewell/core/manifest/manifest.h
@@ -33,6 +33,8 @@
   int priority = 0;               // 0 is the highest
   int max_attempts = 1;  // maximum number of targets that a request is sent to
   std::vector<Destination> destinations;
+  // Regions where the requests may go; empty: anywhere.
+  std::vector<std::string> homes;
 
   bool operator==(const Route&) const = default;
 };
@@ -51,6 +53,8 @@
   std::optional<int> priority;
   double rate_per_second = 0;  // 0: no limit
   double burst = 0;
+  // Like those of a route; where both name regions, both bind.
+  std::vector<std::string> homes;
 
   bool operator==(const Account&) const = default;
 };
--- a/packages/core/include/lycheewell/core/routing/target_selector.h
+++ b/packages/core/include/lycheewell/core/routing/target_selector.h
@@ -8,9 +8,11 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 
+#include "lycheewell/core/routing/evacuation_shift.h"
 #include "lycheewell/core/routing/limit_throttle.h"
 #include "lycheewell/core/types.h"
 
@@ -40,6 +42,8 @@
   bool accepts_work = true;
   // End of the target's cold start; it is slow until then.
   Instant cold_until;
+  std::string data_centre;
+  std::string region;  // of the data centre; empty: not known
 
   bool operator==(const TargetOptions&) const = default;
 };
@@ -61,6 +65,10 @@
   // A target without a limit goes before all others: one with a limit has
   // refused the request.
   bool prefers_unlimited = false;
+  // Regions where the request may go, by its route and by its client account;
+  // both bind, an empty list allows all.
+  std::span<const std::string> route_homes = {};
+  std::span<const std::string> account_homes = {};
 };
 
 class TargetSelector {
@@ -79,6 +87,10 @@
   // and back; zero when it is negligible.
   void SetPathDelay(const std::string& member, Duration delay);
 
+  // From now on, and until the next call, the targets that have left evacuated
+  // data centres by `now` are not chosen.
+  void ApplyEvacuations(const EvacuationShift& shift, Instant now);
+
   // A request sent to the member's target counts as outstanding until
   // RecordDone.
   void RecordSent(const std::string& member);
@@ -116,6 +128,9 @@
   // that rate.
   std::map<std::string, double, std::less<>> SlotsByService() const;
 
+  // Counts the targets that evacuations keep from being chosen.
+  std::size_t CountEvacuatedTargets() const;
+
   // Counts the targets of the service that accept work, reachable or not.
   std::size_t CountAcceptingTargets(std::string_view service) const;
 
@@ -131,11 +146,13 @@
     Duration refused_wait{};
     Duration path_delay{};
     LimitThrottle throttle;
+    bool is_evacuated = false;
   };
 
   // Whether the target takes work, apart from its limit.
   static bool IsEligible(const Entry& entry) {
-    return entry.target.accepts_work && entry.is_reachable;
+    return entry.target.accepts_work && entry.is_reachable &&
+           !entry.is_evacuated;
   }
   // Slots that count as capacity of the service.
   static double PlannedSlots(const Entry& entry);
@@ -155,6 +172,7 @@
 
   std::map<std::string, Entry> entries;
   std::map<std::string, std::set<std::string>, std::less<>> members_by_service;
+  EvacuationShift evacuations;
 };
 
 }  // namespace lycheewell::core::routing
--- a/packages/core/src/configuration/json_codec.cpp
+++ b/packages/core/src/configuration/json_codec.cpp
@@ -133,7 +133,10 @@
             {"idempotent", route->idempotent},
             {"open", route->allows_anonymous}};
   }
-  return {{"gone", std::get<Retirement>(value).daemon_gone}};
+  if (const auto* retirement = std::get_if<Retirement>(&value)) {
+    return {{"gone", retirement->daemon_gone}};
+  }
+  return {};
 }
 
 json::object ToJson(const ChangeMetadata& metadata) {
@@ -189,6 +192,9 @@
   if (kind == "target") {
     return Retirement{.daemon_gone = ReadBool(object, "gone")};
   }
+  if (kind == "evacuation") {
+    return Evacuation{};
+  }
   throw JsonFieldError("unknown kind of object '" + std::string(kind) + "'");
 }
 
--- a/packages/core/src/configuration/queries/plan.cpp
+++ b/packages/core/src/configuration/queries/plan.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <sstream>
 
 namespace lycheewell::core::configuration::queries {
@@ -53,6 +54,16 @@
       problems.push_back(intent.object +
                          ": no such daemon has announced itself");
     }
+    if (intent.value && ObjectKind(intent.object) == "evacuation") {
+      const bool has_members = std::any_of(
+          state.members.begin(), state.members.end(), [&](const auto& member) {
+            return member.second.data_centre == ObjectName(intent.object);
+          });
+      if (!has_members) {
+        problems.push_back(intent.object +
+                           ": no daemon there has announced itself");
+      }
+    }
     if (!intent.value && ObjectKind(intent.object) == "account") {
       for (const auto& [name, object] : state.objects) {
         const auto* referencing_key = std::get_if<Key>(&object.value);
@@ -100,7 +111,8 @@
                                                        : "";
   }
   if (!after) {
-    return std::holds_alternative<Retirement>(*before)
+    return std::holds_alternative<Retirement>(*before) ||
+                   std::holds_alternative<Evacuation>(*before)
                ? ""
                : "what depends on it will be refused or treated by defaults";
   }
@@ -118,6 +130,32 @@
   return "the daemon's shares may be given to others";
 }
 
+// Names the services that the evacuation leaves without a target.
+std::string DescribeEvacuation(const State& state,
+                               const std::vector<Intent>& intents,
+                               std::string_view data_centre) {
+  std::set<std::string> there;
+  std::set<std::string> elsewhere;
+  for (const auto& [id, member] : state.members) {
+    const bool takes_work =
+        !WillExist(state, intents, TargetObject(id)) &&
+        !WillExist(state, intents, EvacuationObject(member.data_centre));
+    if (member.data_centre == data_centre) {
+      there.insert(member.service);
+    } else if (takes_work) {
+      elsewhere.insert(member.service);
+    }
+  }
+  std::string lost;
+  for (const std::string& service : there) {
+    if (!service.empty() && !elsewhere.contains(service)) {
+      lost += (lost.empty() ? "; services left without a target: " : ", ") +
+              service;
+    }
+  }
+  return "no target there takes new requests" + lost;
+}
+
 std::string Summarise(const std::string& object,
                       const std::optional<ObjectValue>& before,
                       const std::optional<ObjectValue>& after) {
@@ -145,13 +183,18 @@
     if (before == intent.value) {
       continue;
     }
+    const bool is_evacuation =
+        intent.value && std::holds_alternative<Evacuation>(*intent.value);
     plan.entries.push_back(
         {.change = {.object = intent.object,
                     .base_revision = CurrentRevision(state, intent.object),
                     .value = intent.value},
          .before = before,
          .summary = Summarise(intent.object, before, intent.value),
-         .disruption = DescribeDisruption(before, intent.value)});
+         .disruption =
+             is_evacuation
+                 ? DescribeEvacuation(state, intents, ObjectName(intent.object))
+                 : DescribeDisruption(before, intent.value)});
   }
   return plan;
 }
@@ -198,9 +241,10 @@
     text << "importance " << ImportanceName(route->importance) << ", "
          << (route->idempotent ? "idempotent" : "not idempotent") << ", "
          << (route->allows_anonymous ? "open" : "needs a key");
+  } else if (const auto* retirement = std::get_if<Retirement>(&value)) {
+    text << (retirement->daemon_gone ? "retired, daemon is gone" : "retired");
   } else {
-    text << (std::get<Retirement>(value).daemon_gone ? "retired, daemon is gone"
-                                                     : "retired");
+    text << "evacuated";
   }
   return text.str();
 }
--- a/packages/core/src/configuration/queries/view.cpp
+++ b/packages/core/src/configuration/queries/view.cpp
@@ -92,6 +92,10 @@
   return this->applied_state.objects.contains(TargetObject(daemon_id));
 }
 
+bool View::IsEvacuated(std::string_view data_centre) const {
+  return this->applied_state.objects.contains(EvacuationObject(data_centre));
+}
+
 const std::vector<Member>& View::MembersOf(std::string_view service) const {
   static const std::vector<Member> kNone;
   const auto found = this->members_by_service.find(service);
--- a/packages/core/src/configuration/record.cpp
+++ b/packages/core/src/configuration/record.cpp
@@ -228,4 +228,8 @@
   return "target/" + std::string(daemon_id);
 }
 
+std::string EvacuationObject(std::string_view data_centre) {
+  return "evacuation/" + std::string(data_centre);
+}
+
 }  // namespace lycheewell::core::configuration
--- a/packages/core/src/routing/target_selector.cpp
+++ b/packages/core/src/routing/target_selector.cpp
@@ -51,6 +51,11 @@
 // do not all choose the same target among nearly equal ones.
 constexpr double kMaxJitterNs = 1e6;
 
+bool IsHome(std::span<const std::string> homes, const std::string& region) {
+  return homes.empty() ||
+         std::find(homes.begin(), homes.end(), region) != homes.end();
+}
+
 }  // namespace
 
 void TargetSelector::Put(const std::string& member, const TargetOptions& target,
@@ -69,6 +74,8 @@
     entry.reported_at = now;
   }
   entry.target = target;
+  entry.is_evacuated =
+      !this->evacuations.TakesWork(target.data_centre, member, now);
   this->members_by_service[target.service].insert(member);
 }
 
@@ -110,6 +117,15 @@
   }
 }
 
+void TargetSelector::ApplyEvacuations(const EvacuationShift& shift,
+                                      Instant now) {
+  this->evacuations = shift;
+  for (auto& [member, entry] : this->entries) {
+    entry.is_evacuated =
+        !shift.TakesWork(entry.target.data_centre, member, now);
+  }
+}
+
 void TargetSelector::RecordSent(const std::string& member) {
   Entry& entry = this->entries[member];
   ++entry.outstanding;
@@ -251,6 +267,8 @@
   for (const std::string& member : members->second) {
     Entry& entry = this->entries.at(member);
     if (!IsEligible(entry) || excluded.contains(member) ||
+        !IsHome(options.route_homes, entry.target.region) ||
+        !IsHome(options.account_homes, entry.target.region) ||
         (entry.load.limit_per_second &&
          !entry.throttle.Offer(options.rank, now, random))) {
       continue;
@@ -294,6 +312,12 @@
                      });
 }
 
+std::size_t TargetSelector::CountEvacuatedTargets() const {
+  return static_cast<std::size_t>(std::count_if(
+      this->entries.begin(), this->entries.end(),
+      [](const auto& entry) { return entry.second.is_evacuated; }));
+}
+
 std::size_t TargetSelector::CountAcceptingTargets(
     std::string_view service) const {
   const auto members = this->members_by_service.find(service);
--- a/packages/daemon/include/lycheewell/daemon/events/event_catalogue.h
+++ b/packages/daemon/include/lycheewell/daemon/events/event_catalogue.h
@@ -57,6 +57,10 @@
   kStoreReachable = 3104,
   kProofExpired = 3105,
   kMemberAnnounced = 3106,
+  kDataCentreEvacuated = 3107,
+  kDataCentreTakenBack = 3108,
+  kDataCentreClosed = 3109,
+  kStoreRestored = 3110,
 
   kMemberHealthChanged = 4001,
   kMemberEvicted = 4002,
--- a/packages/daemon/src/requests/router.cpp
+++ b/packages/daemon/src/requests/router.cpp
@@ -157,7 +157,8 @@
       const bool takes_work =
           health == Health::kAlive || health == Health::kSuspected;
       if (takes_work && !tried.contains(member.daemon) &&
-          !view->IsRetired(member.daemon.id)) {
+          !view->IsRetired(member.daemon.id) &&
+          !view->IsEvacuated(member.data_centre)) {
         candidates.push_back(&member);
       }
     }
--- a/packages/sidecar/include/lycheewell/sidecar/hooks.h
+++ b/packages/sidecar/include/lycheewell/sidecar/hooks.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "lycheewell/core/manifest/manifest.h"
+#include "lycheewell/core/membership/evacuations.h"
 #include "lycheewell/core/types.h"
 #include "lycheewell/io/http/message.h"
 
@@ -117,6 +118,8 @@
   std::uint64_t next_offset = 0;
   // False when the store holds records at or after `next_offset`.
   bool is_caught_up = true;
+  // The evacuations in the same records; its end is `next_offset`.
+  core::membership::EvacuationRead evacuations;
 
   bool operator==(const StoredManifest&) const = default;
 };
--- a/packages/sidecar/include/lycheewell/sidecar/manifest/manifest_keeper.h
+++ b/packages/sidecar/include/lycheewell/sidecar/manifest/manifest_keeper.h
@@ -48,6 +48,10 @@
   // the others.
   std::function<void()> on_change;
 
+  // Called with each read of the store that has succeeded, before its proof
+  // counts.
+  std::function<void(const StoredManifest&)> on_read;
+
   // Called after each read of the store on behalf of the others.
   std::function<void()> on_proof;
 
@@ -91,6 +95,7 @@
   std::shared_ptr<const core::routing::RouteTable> current;
   std::string text;
   std::uint64_t next_offset = 0;
+  std::uint64_t era = 0;  // of the log, when `next_offset` was read
   std::optional<core::Duration> proven_at;
   bool store_reachable = false;
   bool next_offset_known = false;
--- a/packages/sidecar/include/lycheewell/sidecar/requests/gate.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/gate.h
@@ -67,6 +67,8 @@
 inline constexpr std::string_view kOverLimit = "over the target's limit";
 // Reason for refusing a request that has crashed targets.
 inline constexpr std::string_view kQuarantined = "it has crashed targets";
+// Reason for refusing a request because the target's data centre is evacuated.
+inline constexpr std::string_view kEvacuated = "data centre is evacuated";
 
 enum class Outcome { kAnswered, kNotRun, kMayHaveRun };
 
@@ -99,6 +101,8 @@
     // When a call made by the target last failed for any reason.
     std::function<core::Instant()> last_failed_call;
     Quarantine& quarantine;
+    // Whether a call must be refused because the data centre is evacuated.
+    std::function<bool()> refuses_for_evacuation;
   };
 
   Gate(boost::asio::io_context& context, TimerQueue& timers, DecisionLog& log,
@@ -133,6 +137,9 @@
   // Refuses new work because this daemon stops.
   void BeginDrain();
 
+  // Refuses the requests that wait; the data centre is evacuated.
+  void RefuseForEvacuation();
+
   // Queries.
 
   mesh::Target DescribeTarget() const;
--- a/packages/sidecar/include/lycheewell/sidecar/settings.h
+++ b/packages/sidecar/include/lycheewell/sidecar/settings.h
@@ -3,6 +3,7 @@
 #define LYCHEEWELL_SIDECAR_SETTINGS_H_
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -26,6 +27,9 @@
   core::Duration repeat_window = std::chrono::seconds(10);
   // Maximum requests of an account in any such window: rate * window + burst.
   core::Duration account_window = std::chrono::seconds(5);
+  // An evacuated data centre gets no more requests after this time. Zero:
+  // evacuations are not asked for, and their records have no effect.
+  core::Duration evacuation{};
 
   bool operator==(const BoundSettings&) const = default;
 };
@@ -44,6 +48,9 @@
   std::uint16_t advertised_links_port = 0;
   std::uint16_t metrics_port = 0;
   std::string store_address;
+  // Region of each data centre. A request with homes goes to no data centre
+  // that is not listed.
+  std::map<std::string, std::string> regions;
   // Approximate time between two announcements of a target.
   core::Duration announcement_period = std::chrono::milliseconds(1500);
   BoundSettings bounds;
--- a/packages/sidecar/src/manifest/manifest_keeper.cpp
+++ b/packages/sidecar/src/manifest/manifest_keeper.cpp
@@ -91,6 +91,16 @@
   }
   this->store_reachable = true;
   auto& stored = std::get<StoredManifest>(result);
+  const bool is_older_copy = stored.evacuations.end.era != this->era;
+  if (is_older_copy && !stored.evacuations.is_complete) {
+    // Its offsets are not those that were read before.
+    this->ReadNewest();
+    return;
+  }
+  this->era = stored.evacuations.end.era;
+  if (this->on_read) {
+    this->on_read(stored);
+  }
   this->next_offset = stored.next_offset;
   this->next_offset_known = true;
   // A manifest that cannot be decoded may withdraw keys, so it is no proof for
--- a/packages/sidecar/src/requests/frontend.cpp
+++ b/packages/sidecar/src/requests/frontend.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <span>
 
 #include "lycheewell/sidecar/clock.h"
 
@@ -361,7 +362,13 @@
   const auto choice = this->ChooseTarget(pending, now);
   if (!choice) {
     const bool is_at_limit = this->targets.HasLimitedTarget(pending->service);
-    this->Refuse(pending, 503, is_at_limit ? kOverLimit : "no target",
+    const bool has_homes =
+        !pending->route->homes.empty() ||
+        (pending->account != nullptr && !pending->account->homes.empty());
+    this->Refuse(pending, 503,
+                 is_at_limit ? kOverLimit
+                 : has_homes ? "no target in its regions"
+                             : "no target",
                  is_at_limit ? FractionOfLatencyTarget(*pending->route,
                                                        kNoSlotRetryFraction)
                              : kNotReadyRetryAfter);
@@ -383,7 +390,11 @@
       pending->service, pending->excluded, now, this->random,
       {.rank = pending->rank,
        .body_bytes = pending->exchange->request().body().size(),
-       .prefers_unlimited = pending->was_over_limit});
+       .prefers_unlimited = pending->was_over_limit,
+       .route_homes = pending->route->homes,
+       .account_homes = pending->account == nullptr
+                            ? std::span<const std::string>()
+                            : pending->account->homes});
 }
 
 void Frontend::SendTo(const PendingPointer& pending,
--- a/packages/sidecar/src/requests/gate.cpp
+++ b/packages/sidecar/src/requests/gate.cpp
@@ -136,6 +136,10 @@
     this->Refuse(ticket, "target does not take work", kNoRetryDelay);
     return ticket;
   }
+  if (this->options.refuses_for_evacuation()) {
+    this->Refuse(ticket, kEvacuated, kNoRetryDelay);
+    return ticket;
+  }
   if (entry.request.instance != this->target.instance) {
     this->Refuse(ticket, "target was replaced", kNoRetryDelay);
     return ticket;
@@ -784,6 +788,8 @@
   this->RefuseWaiting("the daemon stops");
 }
 
+void Gate::RefuseForEvacuation() { this->RefuseWaiting(kEvacuated); }
+
 mesh::Load Gate::DescribeLoad() const {
   mesh::Load load;
   load.set_running(static_cast<std::uint32_t>(this->slots.running()));
--- a/packages/sidecar/src/settings.cpp
+++ b/packages/sidecar/src/settings.cpp
@@ -23,6 +23,8 @@
 
 // Shorter windows cannot be divided into slices of whole milliseconds.
 constexpr core::Duration kMinAccountWindow = std::chrono::milliseconds(100);
+// Leaves time to learn of an evacuation and to move the work.
+constexpr core::Duration kMinEvacuationBound = std::chrono::seconds(1);
 
 json::value ParseText(std::string_view text, boost::system::error_code& error) {
   json::parse_options options;
@@ -85,6 +87,29 @@
     return std::get<core::Duration>(parsed);
   }
 
+  // An object with texts, which may be left out.
+  std::map<std::string, std::string> Texts(
+      std::initializer_list<std::string_view> path) {
+    std::map<std::string, std::string> texts;
+    const json::value* value = this->Find(path);
+    if (value == nullptr || value->is_null()) {
+      return texts;
+    }
+    const json::object* object = value->if_object();
+    if (object == nullptr) {
+      this->Report(path, "is not an object");
+      return texts;
+    }
+    for (const auto& [name, text] : *object) {
+      if (text.is_string()) {
+        texts[std::string(name)] = std::string(text.get_string());
+      } else {
+        this->Report(path, "holds a value that is not a text");
+      }
+    }
+    return texts;
+  }
+
   // A port that may be left out.
   std::uint16_t PortOr(std::initializer_list<std::string_view> path,
                        std::uint16_t fallback) {
@@ -194,6 +219,7 @@
           reader.PortOr({"advertised_links_port"}, links_port),
       .metrics_port = reader.Port({"metrics_port"}),
       .store_address = reader.Address({"store", "address"}),
+      .regions = reader.Texts({"regions"}),
       .announcement_period = reader.Time({"target", "announcement_period"},
                                          Settings().announcement_period),
       .bounds = {
@@ -210,7 +236,9 @@
           .repeat_window =
               reader.Time({"bounds", "repeat_window"}, defaults.repeat_window),
           .account_window = reader.Time({"bounds", "account_window"},
-                                        defaults.account_window)}};
+                                        defaults.account_window),
+          .evacuation =
+              reader.Time({"bounds", "evacuation"}, defaults.evacuation)}};
   if (settings.bounds.manifest_adoption < kMinManifestBound) {
     problems.push_back(
         {"sidecar.bounds.manifest_adoption", "is shorter than 100ms"});
@@ -223,6 +251,10 @@
     problems.push_back(
         {"sidecar.bounds.account_window", "is shorter than 100ms"});
   }
+  if (settings.bounds.evacuation > core::Duration::zero() &&
+      settings.bounds.evacuation < kMinEvacuationBound) {
+    problems.push_back({"sidecar.bounds.evacuation", "is shorter than 1s"});
+  }
   if (!settings.address.empty() &&
       !io::http::TryParseEndpoint(settings.address + ":1")) {
     problems.push_back({"sidecar.address", "is not an IP number"});
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -20,6 +20,7 @@
 #include "lycheewell/sidecar/links/accepted_calls.h"
 #include "lycheewell/sidecar/links/mesh.h"
 #include "lycheewell/sidecar/loop_monitor.h"
+#include "lycheewell/sidecar/manifest/evacuation_keeper.h"
 #include "lycheewell/sidecar/manifest/manifest_keeper.h"
 #include "lycheewell/sidecar/records/departures.h"
 #include "lycheewell/sidecar/records/own_records.h"
@@ -102,6 +103,15 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(duration).count()));
 }
 
+// Within this time the newest records of the operators must be known.
+core::Duration AdoptionBound(const BoundSettings& bounds) {
+  const core::Duration bound =
+      std::min(bounds.manifest_adoption, bounds.key_withdrawal);
+  return bounds.evacuation > core::Duration::zero()
+             ? std::min(bound, bounds.evacuation / 2)
+             : bound;
+}
+
 class Sidecar {
  public:
   explicit Sidecar(SidecarOptions new_options)
@@ -114,8 +124,9 @@
                                        this->options.settings)),
         manifest(this->timers, this->options.dialect, this->store, this->log,
                  {.adoption_bound =
-                      std::min(this->options.settings.bounds.manifest_adoption,
-                               this->options.settings.bounds.key_withdrawal)}),
+                      AdoptionBound(this->options.settings.bounds)}),
+        evacuations(this->timers, this->log, this->counters,
+                    this->EvacuationHooks()),
         mesh(this->context, this->timers, this->log,
              {.settings = this->options.settings,
               .store = this->store,
@@ -141,7 +152,9 @@
                   [this] { return this->front.last_starved_call(); },
               .last_failed_call =
                   [this] { return this->front.last_failed_call(); },
-              .quarantine = this->quarantine}),
+              .quarantine = this->quarantine,
+              .refuses_for_evacuation =
+                  [this] { return this->evacuations.RefusesCall(); }}),
         front(this->timers, this->log,
               {.settings = this->options.settings,
                .dialect = this->options.dialect,
@@ -186,6 +199,9 @@
     this->manifest.reader_rank = [this] {
       return this->mesh.rank_in_data_centre(kStoreReaderRole);
     };
+    this->manifest.on_read = [this](const StoredManifest& stored) {
+      this->evacuations.OnStoreRead(stored);
+    };
     this->manifest.on_change = [this] { this->BroadcastManifest(); };
     this->manifest.on_proof = [this] {
       this->mesh.BroadcastProofInDataCentre(
@@ -312,6 +328,9 @@
             [this](mesh::Hello& hello, const std::string& receiver) {
               *hello.mutable_target() = this->gate.DescribeTarget();
               hello.set_manifest_version(this->manifest.version());
+              if (const auto known = this->evacuations.Describe()) {
+                *hello.mutable_evacuations() = *known;
+              }
               for (const std::string& start :
                    this->retired_starts.StartsBeside(receiver)) {
                 hello.add_retired_starts(start);
@@ -331,6 +350,10 @@
                 this->RetireOwn(start);
               }
               this->quarantine.Apply(hello.crash_marks());
+              if (hello.has_evacuations()) {
+                this->evacuations.OnPeer(hello.evacuations(),
+                                         hello.self().name());
+              }
               if (hello.has_target_limit()) {
                 this->RecallLimit(hello.target_limit());
               }
@@ -344,6 +367,21 @@
             }};
   }
 
+  manifest::EvacuationKeeper::Options EvacuationHooks() {
+    return {.settings = this->options.settings,
+            .proof_age = [this] { return this->manifest.proof_age(); },
+            .broadcast =
+                [this](const mesh::Frame& frame) {
+                  this->mesh.BroadcastInDataCentre(frame);
+                },
+            .on_step =
+                [this](const core::routing::EvacuationShift& shift) {
+                  this->front.selector().ApplyEvacuations(shift, Now());
+                },
+            .on_own_closed = [this] { this->gate.RefuseForEvacuation(); },
+            .on_taken_back = [] {}};
+  }
+
   requests::Quarantine::Options QuarantineHooks() {
     return {
         .broadcast =
@@ -457,6 +495,10 @@
                      ? Distance::kSameDataCentre
                      : Distance::kOtherDataCentre;
     }
+    const std::string data_centre = distance == Distance::kSameVm
+                                        ? this->options.settings.data_centre
+                                        : this->mesh.data_centre_of(member);
+    const auto region = this->options.settings.regions.find(data_centre);
     this->front.selector().Put(
         member,
         {.instance = target.instance(),
@@ -464,7 +506,11 @@
          .distance = distance,
          .slots = static_cast<int>(target.slots()),
          .accepts_work = target.state() == mesh::TAKES_WORK,
-         .cold_until = now + std::chrono::milliseconds(target.cold_ms())},
+         .cold_until = now + std::chrono::milliseconds(target.cold_ms()),
+         .data_centre = data_centre,
+         .region = region == this->options.settings.regions.end()
+                       ? std::string()
+                       : region->second},
         now);
     if (distance != Distance::kSameVm) {
       this->front.selector().SetReachable(member,
@@ -524,6 +570,9 @@
       case mesh::Frame::kManifestProof:
         this->OnManifestProof(link->member, frame.manifest_proof());
         break;
+      case mesh::Frame::kEvacuations:
+        this->evacuations.OnPeer(frame.evacuations(), link->member);
+        break;
       case mesh::Frame::kCrashMarks:
         this->quarantine.Apply(frame.crash_marks());
         break;
@@ -647,6 +696,9 @@
     *pong.mutable_load() = this->gate.DescribeLoad();
     pong.set_clock_us(ClockMicroseconds());
     pong.set_members_digest(this->mesh.members_digest());
+    if (const auto known = this->evacuations.Describe()) {
+      *pong.mutable_evacuations() = *known;
+    }
     if (this->mesh.data_centre_of(link->member) ==
         this->options.settings.data_centre) {
       const core::Instant now = Now();
@@ -742,6 +794,9 @@
       this->front.demand().Report(link->member + "/" + sums.service(),
                                   sums.service(), DecodeDemand(sums.demand()));
     }
+    if (pong.has_evacuations()) {
+      this->evacuations.OnPeer(pong.evacuations(), link->member);
+    }
     if (pong.manifest_version() > this->manifest.version()) {
       this->RequestManifest(link->member);
     }
@@ -841,7 +896,9 @@
          << "\nlycheewell_target_mean_work_seconds "
          << static_cast<double>(load.mean_work_us()) / 1e6
          << "\nlycheewell_target_failing_part "
-         << load.failing_permille() / 1000.0 << "\n";
+         << load.failing_permille() / 1000.0 << "\nlycheewell_targets_evacuated "
+         << this->front.selector().CountEvacuatedTargets() << "\n";
+    this->evacuations.RenderMetrics(text);
     for (const auto& decision : this->front.demand().Decisions()) {
       text << "lycheewell_entry_part{route=\"" << decision.route << "\"} "
            << decision.admitted_fraction << "\n";
@@ -948,6 +1005,7 @@
   LoopMonitor loop_monitor;
   StoreHooks store;
   manifest::ManifestKeeper manifest;
+  manifest::EvacuationKeeper evacuations;
   links::Mesh mesh;
   requests::AccountLimiter accounts;
   records::OwnRecords own_records;
--- a/tests/harness/sidecar_vm.cpp
+++ b/tests/harness/sidecar_vm.cpp
@@ -136,11 +136,14 @@
       .body = response.body()};
 }
 
-SidecarVm::SidecarVm(int number, int new_store_port, int new_links_proxy_port)
+SidecarVm::SidecarVm(int number, int new_store_port, int new_links_proxy_port,
+                     std::string new_data_centre, std::string new_bounds)
     : base_port(kFirstSidecarPort + 20 + 20 * number),
       name("vm-" + std::to_string(number)),
       store_port(new_store_port),
       links_proxy_port(new_links_proxy_port),
+      data_centre(std::move(new_data_centre)),
+      bounds(std::move(new_bounds)),
       folder((std::filesystem::temp_directory_path() /
               ("lycheewell-sidecar-" + std::to_string(getpid()) + "-" +
                std::to_string(this->base_port)))
@@ -162,7 +165,8 @@
   const std::string path = this->folder + "/settings.json";
   std::ofstream(path)
       << R"({"sidecar":{"name":")" << this->name
-      << R"(","data_centre":"z","address":"127.0.0.1","clients_address":")"
+      << R"(","data_centre":")" << this->data_centre
+      << R"(","address":"127.0.0.1","clients_address":")"
       << LoopbackAddress(this->base_port) << R"(","announcements_address":")"
       << LoopbackAddress(this->base_port + 1) << R"(","readiness_address":")"
       << LoopbackAddress(this->base_port + 2) << R"(","target":{"address":")"
@@ -173,7 +177,7 @@
                                      : this->base_port + 4)
       << R"(,"metrics_port":)" << this->base_port + 5
       << R"(,"store":{"address":")" << LoopbackAddress(this->store_port)
-      << R"("},"bounds":{}}})";
+      << R"("},"bounds":)" << this->bounds << "}}";
   this->process.emplace(
       std::vector<std::string>{std::string(LYCHEEWELL_BIN_DIR) + "/lycheewelld",
                                "--settings", path},
--- a/tests/harness/sidecar_vm.h
+++ b/tests/harness/sidecar_vm.h
@@ -87,9 +87,10 @@
 class SidecarVm {
  public:
   // `store_port` is where this VM finds the store. Peers dial
-  // `links_proxy_port` if it is not 0.
+  // `links_proxy_port` if it is not 0. `bounds` are settings in JSON.
   explicit SidecarVm(int number, int store_port = kFirstSidecarPort,
-                     int links_proxy_port = 0);
+                     int links_proxy_port = 0, std::string data_centre = "z",
+                     std::string bounds = "{}");
   ~SidecarVm();
 
   SidecarVm(const SidecarVm&) = delete;
@@ -125,6 +126,8 @@
  private:
   int store_port;
   int links_proxy_port;
+  std::string data_centre;
+  std::string bounds;
   std::string folder;
 };
 
--- a/tests/harness/store.cpp
+++ b/tests/harness/store.cpp
@@ -60,6 +60,14 @@
   this->Append("keyed.op", "config", document);
 }
 
+void Store::Evacuate(const std::string& data_centre) {
+  this->Append("keyed.op", "evacuate/" + data_centre, "{}");
+}
+
+void Store::TakeBack(const std::string& data_centre) {
+  this->Append("keyed.op", "evacuate/" + data_centre, "");
+}
+
 std::string Store::BigEndian(std::uint64_t value, std::size_t size) {
   std::string bytes(size, '\0');
   for (std::size_t i = size; i-- > 0; value >>= 8U) {
--- a/tests/harness/store.h
+++ b/tests/harness/store.h
@@ -47,6 +47,9 @@
   // Commands.
 
   void PutManifest(const std::string& document);
+  // The operator evacuates a data centre or takes that back.
+  void Evacuate(const std::string& data_centre);
+  void TakeBack(const std::string& data_centre);
 
   // Serves at another address, too, with faults of its own: the daemons that
   // use it are turned away while the store serves the others. The reference
--- a/tests/platform/adapter_test.cpp
+++ b/tests/platform/adapter_test.cpp
@@ -4,6 +4,7 @@
 #include <filesystem>
 #include <fstream>
 #include <regex>
+#include <set>
 #include <sstream>
 
 namespace {
@@ -221,6 +222,20 @@
                                               .burst = 64}});
   CHECK(decoded.limits.idle_timeout == std::chrono::seconds(15));
 
+  SECTION("routes and accounts have homes where they name regions") {
+    CHECK(decoded.routes[0].homes.empty());
+    CHECK(decoded.accounts[0].homes.empty());
+    const auto with_homes =
+        std::get<core::manifest::Manifest>(dialect.decode_manifest(
+            R"({"version":"r1","routes":{"columns":["host","pathPrefix",
+"allowedRegions"],"rows":[["h","/",["north","south"]],["h","/x/",null]]},
+"services":{"columns":[],"rows":[]},"tenants":{"columns":["name",
+"allowedRegions"],"rows":[["club",["north"]]]}})"));
+    CHECK(with_homes.routes[0].homes ==
+          std::vector<std::string>{"north", "south"});
+    CHECK(with_homes.routes[1].homes.empty());
+    CHECK(with_homes.accounts[0].homes == std::vector<std::string>{"north"});
+  }
   SECTION("uploads run at most once and have large bodies") {
     CHECK_FALSE(decoded.routes[2].is_idempotent);
     CHECK(decoded.routes[2].has_large_bodies);
@@ -242,11 +257,11 @@
           "[platform]") {
   const std::regex names(
       "Caller-Service|Expected-Instance|Not-Executed|Response-Signature|"
-      "heartbeatAddr|log-append|"
+      "heartbeatAddr|log-append|allowedRegions|"
       "log-newest|log-read\\?|keyed\\.op|weightedClusters|pathPrefix|Deadline-"
       "Ms|"
       "Tenant-Id|apiKeys|"
-      "ratePerS|/v1/readiness|/v1/instances|/v1/log-");
+      "ratePerS|evacuate/|Store-Era|/v1/readiness|/v1/instances|/v1/log-");
   std::vector<std::string> found;
   for (const auto& entry : std::filesystem::recursive_directory_iterator(
            std::string(kSourceDir) + "/packages")) {
@@ -263,9 +278,24 @@
   CHECK(found.empty());
 }
 
+// Renders the sections of a template: those of `present` once, no others.
+std::string RenderSections(std::string text,
+                           const std::set<std::string>& present) {
+  const std::regex section(R"(\{\{#([^}]+)\}\}([\s\S]*?)\{\{/\1\}\})");
+  std::smatch match;
+  while (std::regex_search(text, match, section)) {
+    const std::string inner = present.contains(match[1]) ? match[2].str() : "";
+    text = match.prefix().str() + inner + match.suffix().str();
+  }
+  return text;
+}
+
 TEST_CASE("The settings template yields valid settings", "[platform]") {
-  std::string text =
-      ReadFile(std::string(kSourceDir) + "/deploy/sidecar.json.in");
+  const bool has_evacuations = GENERATE(false, true);
+  std::string text = RenderSections(
+      ReadFile(std::string(kSourceDir) + "/deploy/sidecar.json.in"),
+      has_evacuations ? std::set<std::string>{"bounds.evacuate"}
+                      : std::set<std::string>{});
   const std::vector<std::pair<std::string, std::string>> values = {
       {"node|json", "\"vm-1\""},
       {"zone|json", "\"kochi-a\""},
@@ -279,12 +309,19 @@
       {"portRange.0", "7000"},
       {"portRange.1", "7015"},
       {"provider.address|json", "\"10.200.1.7:8545\""},
+      {"zones|json", R"({"kochi-a":"kochi","kochi-b":"kochi"})"},
       {"bounds.revoke|json", "\"5000ms\""},
       {"bounds.grace|json", "\"6s\""},
       {"bounds.retryBudgetRatio|json", "0.2"},
       {"bounds.budgetMinRetries|json", "48"},
       {"bounds.budgetWindow|json", "\"10s\""},
       {"bounds.quotaWindow|json", "\"4s\""}};
+  if (has_evacuations) {
+    const std::string placeholder = "{{bounds.evacuate|json}}";
+    const std::size_t at = text.find(placeholder);
+    REQUIRE(at != std::string::npos);
+    text.replace(at, placeholder.size(), "\"5000ms\"");
+  }
   for (const auto& [name, value] : values) {
     const std::string placeholder = "{{" + name + "}}";
     const std::size_t at = text.find(placeholder);
@@ -298,6 +335,11 @@
   CHECK(std::get<sidecar::Settings>(parsed).advertised_links_port == 7000);
   CHECK(std::get<sidecar::Settings>(parsed).bounds.account_window ==
         std::chrono::seconds(4));
+  CHECK(std::get<sidecar::Settings>(parsed).bounds.evacuation ==
+        std::chrono::seconds(has_evacuations ? 5 : 0));
+  CHECK(std::get<sidecar::Settings>(parsed).regions ==
+        std::map<std::string, std::string>{{"kochi-a", "kochi"},
+                                           {"kochi-b", "kochi"}});
 
   SECTION("an account window that is too short is rejected") {
     const std::size_t at = text.find("\"4s\"");
--- a/tests/process/client_test.cpp
+++ b/tests/process/client_test.cpp
@@ -31,10 +31,13 @@
     change({"plan", "remove-account", "club"});
     change({"plan", "retire-target", node.peers_address});
     change({"plan", "return-target", node.peers_address});
+    change({"plan", "evacuate", "one"});
+    change({"plan", "end-evacuation", "one"});
     change({"undo", "--to", "3"});
     const CommandResult history = run({"history"});
     CHECK(Contains(history, "asha"));
     CHECK(Contains(history, "retired"));
+    CHECK(Contains(history, "evacuated"));
   }
   SECTION("a plan alone changes nothing, and is empty when all is as wished") {
     run({"plan", "account", "club", "--rate", "60", "--burst", "10", "--plan",
--- a/tests/process/promises_test.cpp
+++ b/tests/process/promises_test.cpp
@@ -541,6 +541,9 @@
     world.fleet.Change(*world.plain, {"plan", "retire-target",
                                       world.calendar[0]->peers_address});
   }
+  SECTION("when an operator evacuates its data centre") {
+    world.fleet.Change(*world.plain, {"plan", "evacuate", "one"});
+  }
   std::this_thread::sleep_for(seconds(2));
   const std::size_t after_two_seconds = journal_size();
   std::this_thread::sleep_for(seconds(1));
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -36,6 +36,9 @@
 constexpr int kNarrowBytesPerSecond = 20'000;
 constexpr int kKeys = 6;
 constexpr int kLimitPerSecond = 3;
+constexpr milliseconds kEvacuationBound{3'000};
+constexpr int kDataCentres = 2;
+constexpr int kEvacuatedDataCentre = 1;
 
 void Sleep(milliseconds time) { std::this_thread::sleep_for(time); }
 
@@ -100,14 +103,16 @@
   const std::string path = this->options.folder + "/" + name + ".json";
   std::ofstream(path)
       << R"({"sidecar":{"name":")" << name << R"(","data_centre":"z)"
-      << number % 2 << R"(","address":"127.0.0.1","clients_address":")"
+      << number % kDataCentres << R"(","address":"127.0.0.1","clients_address":")"
       << LoopbackAddress(base + kClients) << R"(","announcements_address":")"
       << LoopbackAddress(base + kAnnouncements) << R"(","readiness_address":")"
       << LoopbackAddress(base + kReadiness) << R"(","target":{"address":")"
       << LoopbackAddress(base + kTarget) << R"(","service":"s"},"links_port":)"
       << base + kLinks << R"(,"advertised_links_port":)" << base + kLinksProxy
       << R"(,"metrics_port":)" << base + kMetrics << R"(,"store":{"address":")"
-      << LoopbackAddress(base + kStoreProxy) << R"("},"bounds":{}}})";
+      << LoopbackAddress(base + kStoreProxy)
+      << R"("},"bounds":{"evacuation":")" << kEvacuationBound.count()
+      << R"(ms"}}})";
   this->fleet.at(static_cast<std::size_t>(number))->process =
       std::make_unique<harness::Process>(
           std::vector<std::string>{this->options.daemon, "--settings", path},
@@ -252,6 +257,9 @@
     case FaultKind::kLimitedTarget:
       this->LimitTarget(fault);
       break;
+    case FaultKind::kEvacuate:
+      this->Evacuate(fault);
+      break;
   }
 }
 
@@ -360,6 +368,20 @@
   }
 }
 
+void Fleet::Evacuate(const Fault& fault) {
+  const std::string name = "z" + std::to_string(kEvacuatedDataCentre);
+  this->store.Evacuate(name);
+  Evacuation evacuation{.span = {.begin = Clock::now() + kEvacuationBound}};
+  Sleep(fault.length);
+  evacuation.span.end = Clock::now();
+  this->store.TakeBack(name);
+  for (int vm = kEvacuatedDataCentre; vm < this->options.vms;
+       vm += kDataCentres) {
+    evacuation.instances.push_back("i-" + std::to_string(vm) + "-");
+  }
+  this->observations.AddEvacuation(evacuation);
+}
+
 void Fleet::PlayOnTarget(const Fault& fault) {
   Vm& vm = *this->fleet.at(static_cast<std::size_t>(fault.vm));
   if (fault.kind == FaultKind::kLoseAnswers ||
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -83,6 +83,7 @@
   void PlayOnStore(const Fault& fault);
   void PlayOnTarget(const Fault& fault);
   void LimitTarget(const Fault& fault);
+  void Evacuate(const Fault& fault);
   void PlayOnManifest(const Fault& fault);
 
   FleetOptions options;
--- a/tests/soak/promises.cpp
+++ b/tests/soak/promises.cpp
@@ -54,6 +54,11 @@
   this->limits.push_back(limit);
 }
 
+void Observations::AddEvacuation(const Evacuation& evacuation) {
+  const std::lock_guard lock(this->mutex);
+  this->evacuations.push_back(evacuation);
+}
+
 void Observations::AddPlannedStop(int vm, const Span& span) {
   const std::lock_guard lock(this->mutex);
   this->planned_stops.emplace_back(vm, span);
@@ -78,6 +83,7 @@
   this->CheckDrains(bounds, broken);
   this->CheckRates(bounds, broken);
   this->CheckLimits(bounds, broken);
+  this->CheckEvacuations(broken);
   this->CheckPlannedStops(broken);
   return broken;
 }
@@ -187,6 +193,25 @@
   }
 }
 
+void Observations::CheckEvacuations(std::vector<std::string>& broken) const {
+  for (const Evacuation& evacuation : this->evacuations) {
+    for (const auto& [id, runs_of_request] : this->runs) {
+      for (const Run& run : runs_of_request) {
+        const bool is_there =
+            std::any_of(evacuation.instances.begin(),
+                        evacuation.instances.end(), [&](const auto& prefix) {
+                          return run.instance.starts_with(prefix);
+                        });
+        if (is_there && run.at > evacuation.span.begin &&
+            run.at < evacuation.span.end) {
+          broken.push_back(id + " reached " + run.instance +
+                           " in an evacuated data centre");
+        }
+      }
+    }
+  }
+}
+
 void Observations::CheckPlannedStops(std::vector<std::string>& broken) const {
   for (const Request& request : this->requests) {
     const bool is_lost = request.status == 0 && this->RunsOf(request.id) > 0;
--- a/tests/soak/promises.h
+++ b/tests/soak/promises.h
@@ -54,6 +54,14 @@
   bool operator==(const Limit&) const = default;
 };
 
+// No request may reach these targets within the span.
+struct Evacuation {
+  std::vector<std::string> instances;  // beginnings of their names
+  Span span;
+
+  bool operator==(const Evacuation&) const = default;
+};
+
 struct Bounds {
   std::chrono::milliseconds key_withdrawal{5'000};
   std::chrono::milliseconds drain{2'000};
@@ -82,6 +90,7 @@
   // A daemon has acknowledged that the instance leaves.
   void AddLeaving(const std::string& instance, Clock::time_point at);
   void AddLimit(const Limit& limit);
+  void AddEvacuation(const Evacuation& evacuation);
   // A planned stop of a daemon without any other fault around it.
   void AddPlannedStop(int vm, const Span& span);
 
@@ -103,6 +112,7 @@
   void CheckRates(const Bounds& bounds, std::vector<std::string>& broken) const;
   void CheckLimits(const Bounds& bounds,
                    std::vector<std::string>& broken) const;
+  void CheckEvacuations(std::vector<std::string>& broken) const;
   void CheckPlannedStops(std::vector<std::string>& broken) const;
   std::size_t RunsOf(const std::string& id) const;
 
@@ -112,6 +122,7 @@
   std::map<std::string, Clock::time_point> withdrawn_keys;
   std::map<std::string, Clock::time_point> leaving;  // by instance
   std::vector<Limit> limits;
+  std::vector<Evacuation> evacuations;
   std::vector<std::pair<int, Span>> planned_stops;
 };
 
--- a/tests/soak/promises_test.cpp
+++ b/tests/soak/promises_test.cpp
@@ -111,6 +111,16 @@
     add(23, 6'000);
     CHECK(seen.BrokenPromises({}).size() == 1);
   }
+  SECTION("a request that reaches an evacuated data centre") {
+    seen.AddEvacuation({.instances = {"i1-"},
+                        .span = {.begin = kStart, .end = kStart + seconds(5)}});
+    seen.AddRun({.id = "r1", .instance = "i1-1", .at = kStart - seconds(1)});
+    seen.AddRun({.id = "r1", .instance = "i2-1", .at = kStart + seconds(1)});
+    seen.AddRun({.id = "r1", .instance = "i1-1", .at = kStart + seconds(6)});
+    const std::size_t before = seen.BrokenPromises({}).size();
+    seen.AddRun({.id = "r1", .instance = "i1-2", .at = kStart + seconds(1)});
+    CHECK(seen.BrokenPromises({}).size() == before + 1);
+  }
   SECTION("an accepted request that a planned stop cut off") {
     Request cut = Answered("r2", 0);
     seen.AddRequest(cut);
--- a/tests/soak/schedule.cpp
+++ b/tests/soak/schedule.cpp
@@ -9,13 +9,13 @@
 namespace {
 using std::chrono::milliseconds;
 
-constexpr std::array<std::string_view, kFaultKinds + 1> kNames = {
+constexpr std::array<std::string_view, kFaultKinds + 2> kNames = {
     "kill",          "planned-stop",   "pause",           "delay",
     "reset-links",   "cut-one-way",    "silence",         "narrow",
     "store-down",    "store-silent",   "store-slow",      "store-lost",
     "withdraw-key",  "new-manifest",   "drain-target",    "crash-target",
     "lose-answers",  "second-answers", "endless-answers", "silent-target",
-    "limited-target"};
+    "limited-target", "evacuate"};
 
 constexpr int kMinFaults = 4;
 constexpr int kMaxFaults = 9;
@@ -34,6 +34,17 @@
 constexpr std::uint64_t kLimitStream = 0x6c696d6974;
 constexpr milliseconds kLimitLength{9'000};
 
+// A schedule has an evacuation if it holds none of the faults that keep daemons
+// from learning of it in time. It takes longer than the bound of the settings.
+constexpr std::uint64_t kEvacuationStream = 0x65766163;
+constexpr milliseconds kEvacuationLength{8'000};
+
+bool ExcusesLateness(const Fault& fault) {
+  return fault.kind == FaultKind::kPause ||
+         (fault.kind >= FaultKind::kStoreDown &&
+          fault.kind <= FaultKind::kStoreLost);
+}
+
 bool IsStoreFault(FaultKind kind) {
   return kind == FaultKind::kStoreDown || kind == FaultKind::kStoreSilent;
 }
@@ -83,6 +94,12 @@
                       .vm = static_cast<int>(
                           limits() % static_cast<std::uint64_t>(options.vms))});
   }
+  if (std::none_of(faults.begin(), faults.end(), ExcusesLateness)) {
+    std::mt19937_64 evacuations(options.seed ^ kEvacuationStream);
+    faults.push_back({.kind = FaultKind::kEvacuate,
+                      .at = milliseconds(evacuations() % 2'000),
+                      .length = kEvacuationLength});
+  }
   std::stable_sort(
       faults.begin(), faults.end(),
       [](const Fault& left, const Fault& right) { return left.at < right.at; });
