Cold targets: a silent target gets only health checks

Cause: what is sent to a target that answers nothing is lost or reaches it in a bunch when it wakes.

Change: ColdWatch closes the target and asks it every half second; its answer opens it. One broken connection beside running requests is no sign of coldness.

--- a/packages/core/include/lycheewell/core/overload/cold_start.h
+++ b/packages/core/include/lycheewell/core/overload/cold_start.h
@@ -44,9 +44,12 @@
   // the service's duration unless it shows otherwise.
   void Assume(Instant now);
 
-  // As Assume, for a target that has taken nothing in for a while: all requests
-  // without an answer reach it now.
-  void AssumeAfterSilence(Instant now);
+  // The last sign still holds.
+  void ExtendAssumption(Instant now);
+
+  // The target has taken nothing in for a while: all requests without an answer
+  // reach it now.
+  void OnWake(Instant now);
 
   // The target has answered a health check that was sent at `checked_at`.
   void OnHealthAnswer(Duration cold_for, Instant checked_at, Instant now);
--- a/packages/core/src/overload/cold_start.cpp
+++ b/packages/core/src/overload/cold_start.cpp
@@ -95,8 +95,14 @@
   this->Refresh(now);
 }
 
-void ColdStart::AssumeAfterSilence(Instant now) {
-  this->Assume(now);
+void ColdStart::ExtendAssumption(Instant now) {
+  if (this->is_assumed(now)) {
+    this->assumed_until = now + this->options->duration;
+    this->Refresh(now);
+  }
+}
+
+void ColdStart::OnWake(Instant now) {
   if (this->options && this->options->rate_per_second > 0) {
     const std::size_t arriving = std::min(this->in_flight, this->MaxInWindow());
     for (std::size_t i = 0; i < arriving; ++i) {
--- a/packages/core/src/routing/send_pace.cpp
+++ b/packages/core/src/routing/send_pace.cpp
@@ -19,6 +19,10 @@
 }  // namespace
 
 bool SendPace::HasRoom(double per_second, Instant now, RandomSource& random) {
+  if (per_second <= 0) {
+    this->next.reset();
+    return false;
+  }
   const Duration interval = Interval(per_second);
   if (!this->next) {
     this->next = now + interval / static_cast<Duration::rep>(kPhases) *
--- a/packages/sidecar/include/lycheewell/sidecar/requests/cold_watch.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/cold_watch.h
@@ -24,8 +24,8 @@
 namespace lycheewell::sidecar::requests {
 
 // Part of the gate: keeps core::overload::ColdStart informed, and sends a
-// health check when only the target itself can tell. Does nothing for a service
-// without a cold rate.
+// health check when only the target itself can tell. A silent target gets
+// nothing else. Does nothing for a service without a cold rate.
 class ColdWatch {
  public:
   struct Options {
@@ -38,7 +38,7 @@
     std::function<bool()> takes_work;
     std::function<core::Duration()> mean_work;
     std::function<std::size_t()> daemon_count;
-    // Called when the target has become cold or warm, or is warming up.
+    // Called when the target has become cold, silent or warm.
     std::function<void(core::overload::Warmth)> on_change;
   };
 
@@ -78,11 +78,16 @@
   }
   void Tick(core::Instant due);
   void LookForSilence(bool is_late);
-  void ReturnFromSilence();
+  void EndSilence();
+  // The target is out of sight and can be asked.
+  bool is_closed() const {
+    return this->is_silent && this->has_rate() && !this->health_path.empty();
+  }
+  bool IsCheckDue(core::Instant now) const;
   // Sends a health check if one is due.
   void Check();
   void OnHealth(core::Instant checked_at, http::ExchangeOutcome outcome);
-  // Tells of a change of the target's warmth.
+  // Tells of a change of the target's warmth, or that it is closed or open.
   void Update(std::string_view reason);
 
   TimerQueue& timers;
@@ -97,8 +102,10 @@
   // Since when requests wait without a sign of life; nothing if none waits.
   std::optional<core::Instant> waiting_since;
   bool is_silent = false;
+  bool reported_closed = false;
   bool is_ticking = false;
-  core::Instant next_check;
+  core::Instant last_check;
+  bool has_new_sign = false;                      // since `last_check`
   std::shared_ptr<http::ClientConnection> check;  // under way
   core::Instant check_written_at;
   TimerQueue::Id check_timer = 0;
--- a/packages/sidecar/include/lycheewell/sidecar/requests/gate.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/gate.h
@@ -220,6 +220,8 @@
   void ConfirmCrash();
   void ReleaseBrokenRuns();
   bool has_usable_connection() const;
+  // Whether a request that was written before `begin` still runs.
+  bool has_older_run(core::Instant begin) const;
   void Reply(Ticket ticket, GateReply reply);
   void Refuse(Ticket ticket, std::string_view reason,
               core::Duration retry_after);
--- a/packages/sidecar/src/requests/cold_watch.cpp
+++ b/packages/sidecar/src/requests/cold_watch.cpp
@@ -16,10 +16,14 @@
 constexpr core::Duration kMinSilence = std::chrono::milliseconds(500);
 constexpr int kSilenceFactor = 4;
 
-// Minimum time between two health checks. Without a new sign, or after one that
-// failed, an announcement period lies between them.
+// Minimum time between two health checks after a sign of coldness. Without a
+// new sign an announcement period lies between them.
 constexpr core::Duration kMinCheckInterval = std::chrono::milliseconds(200);
 
+// Time between two health checks of a silent target, which also bounds the wait
+// for an answer: what is sent while the target is out of sight may be lost.
+constexpr core::Duration kSilentCheckInterval = std::chrono::milliseconds(500);
+
 std::string MillisecondsText(core::Duration duration) {
   return std::to_string(
       std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
@@ -68,9 +72,8 @@
   if (!this->has_rate()) {
     return;
   }
-  const core::Instant now = Now();
-  this->cold.Assume(now);
-  this->next_check = std::min(this->next_check, now + kMinCheckInterval);
+  this->cold.Assume(Now());
+  this->has_new_sign = true;
   this->Update(reason);
   this->Check();
 }
@@ -80,7 +83,7 @@
   if (this->cold.per_second(now)) {
     this->share.CountOffered();
   }
-  return this->cold.Admit(rank, now);
+  return !this->is_closed() && this->cold.Admit(rank, now);
 }
 
 void ColdWatch::OnWritten(bool was_admitted) {
@@ -97,20 +100,22 @@
     this->waiting_since = Now();
   }
   if (this->is_silent) {
-    this->ReturnFromSilence();
+    this->EndSilence();
+    this->Assume("back after silence");
   }
 }
 
-void ColdWatch::ReturnFromSilence() {
+void ColdWatch::EndSilence() {
   this->is_silent = false;
-  const core::Instant now = Now();
-  this->cold.AssumeAfterSilence(now);
-  this->next_check = std::min(this->next_check, now + kMinCheckInterval);
-  this->Update("back after silence");
+  this->cold.OnWake(Now());
 }
 
 void ColdWatch::LookForSilence(bool is_late) {
   const core::Instant now = Now();
+  if (this->is_silent) {
+    this->cold.ExtendAssumption(now);
+    return;
+  }
   if (this->cold.unanswered() == 0) {
     this->waiting_since.reset();
   } else if (is_late || !this->waiting_since) {
@@ -119,12 +124,9 @@
   }
   const core::Duration limit =
       std::max(kMinSilence, kSilenceFactor * this->options.mean_work());
-  if (this->waiting_since && now - *this->waiting_since > limit &&
-      !this->is_silent) {
+  if (this->waiting_since && now - *this->waiting_since > limit) {
     this->is_silent = true;
     this->Assume("silent");
-  } else if (this->is_silent) {
-    this->cold.Assume(now);
   }
 }
 
@@ -145,22 +147,36 @@
                      [this, next = now + kTickPeriod] { this->Tick(next); });
 }
 
+bool ColdWatch::IsCheckDue(core::Instant now) const {
+  if (this->check || !this->cold.is_assumed(now) || this->health_path.empty() ||
+      !this->options.takes_work()) {
+    return false;
+  }
+  core::Duration interval = this->options.settings.announcement_period;
+  if (this->has_new_sign) {
+    interval = kMinCheckInterval;
+  } else if (this->is_silent) {
+    interval = kSilentCheckInterval;
+  }
+  return now - this->last_check >= interval;
+}
+
 void ColdWatch::Check() {
   const core::Instant now = Now();
-  if (this->check || now < this->next_check || !this->cold.is_assumed(now) ||
-      this->health_path.empty() || !this->options.takes_work()) {
+  if (!this->IsCheckDue(now)) {
     return;
   }
-  this->next_check = now + this->options.settings.announcement_period;
+  this->last_check = now;
+  this->has_new_sign = false;
   this->check = this->options.take_connection();
   this->check_written_at = core::Instant();
-  this->check_timer =
-      this->timers.After(this->options.settings.announcement_period, [this] {
+  this->check_timer = this->timers.After(
+      this->is_silent ? kSilentCheckInterval
+                      : this->options.settings.announcement_period,
+      [this] {
         this->check_timer = 0;
         this->check->Abort();
-        const core::Instant next = this->next_check;
         this->OnHealth({}, http::ExchangeProblem{.detail = "no answer"});
-        this->next_check = next;
       });
   this->check->Start(
       {.message = "GET " + this->health_path + " HTTP/1.1\r\nHost: " +
@@ -198,21 +214,24 @@
     if (connection->is_usable()) {
       this->options.return_connection(connection);
     }
-  } else {
-    problem = std::get<http::ExchangeProblem>(outcome).detail;
-    if (connection->is_connected()) {
-      // The target had closed the idle connection, or has ended.
-      this->next_check = Now() + kMinCheckInterval;
+    if (this->is_silent) {
+      this->EndSilence();
     }
+    this->OnHeard();
+  } else {
+    const auto& failed = std::get<http::ExchangeProblem>(outcome);
+    problem = failed.detail;
+    // The target may just have closed the idle connection.
+    this->has_new_sign =
+        this->has_new_sign || failed.failure == http::ExchangeFailure::kBroken;
   }
   if (!problem.empty()) {
     this->log.Write(
         Event::kTargetCheckFailed,
         {{"instance", this->options.instance()}, {"detail", problem}});
-    return;
+  } else {
+    this->cold.OnHealthAnswer(*answer.cold_for, checked_at, Now());
   }
-  this->OnHeard();
-  this->cold.OnHealthAnswer(*answer.cold_for, checked_at, Now());
   this->Update("health check");
 }
 
@@ -221,12 +240,14 @@
   // Without a rate the target is merely slow, which its announcements tell.
   const Warmth current =
       this->has_rate() ? this->cold.warmth(now) : Warmth::kWarm;
-  if (current == this->warmth) {
+  const bool was_closed =
+      std::exchange(this->reported_closed, this->is_closed());
+  if (current == this->warmth && was_closed == this->reported_closed) {
     return;
   }
   const Warmth before = std::exchange(this->warmth, current);
   const auto rate = this->cold.per_second(now);
-  if (current == Warmth::kCold) {
+  if (current == Warmth::kCold && before != Warmth::kCold) {
     this->cold_since = now;
     this->refused_before = this->cold.refused();
     this->log.Write(Event::kTargetCold,
@@ -234,7 +255,7 @@
                      {"reason", reason},
                      {"cold_ms", MillisecondsText(this->cold_for())},
                      {"per_second", std::to_string(rate.value_or(0))}});
-  } else if (before == Warmth::kCold) {
+  } else if (current != Warmth::kCold && before == Warmth::kCold) {
     this->log.Write(Event::kTargetWarm,
                     {{"instance", this->options.instance()},
                      {"reason", reason},
@@ -250,8 +271,9 @@
 
 void ColdWatch::DescribeLoad(mesh::Load& load) const {
   if (const auto rate = this->cold.per_second(Now())) {
-    load.set_cold_per_second(*rate);
-    load.set_cold_share_per_second(this->share.per_second());
+    load.set_cold_per_second(this->is_closed() ? 0 : *rate);
+    load.set_cold_share_per_second(
+        this->is_closed() ? 0 : this->share.per_second());
   }
 }
 
--- a/packages/sidecar/src/requests/gate.cpp
+++ b/packages/sidecar/src/requests/gate.cpp
@@ -541,6 +541,13 @@
       [](const auto& connection) { return connection->is_usable(); });
 }
 
+bool Gate::has_older_run(core::Instant begin) const {
+  return std::any_of(
+      this->calls.begin(), this->calls.end(), [&](const auto& entry) {
+        return entry.second.written_at && *entry.second.written_at < begin;
+      });
+}
+
 void Gate::CheckForCrash() {
   if (this->is_checking_for_crash) {
     return;
@@ -552,19 +559,21 @@
       this->ReleaseBrokenRuns();
       return;
     }
-    http::ProbeConnect(
-        this->context, this->timers, this->target_endpoint, kCrashCheckTimeout,
-        [this, start = this->starts.current()](http::ConnectResult result) {
-          if (result == http::ConnectResult::kRefused &&
-              start == this->starts.current() &&
-              this->state == TargetState::kTakesWork) {
-            this->ConfirmCrash();
-            this->SetState(TargetState::kGone, "crashed");
-          } else if (result != http::ConnectResult::kRefused) {
-            this->AssumeCold("all connections broke");
-          }
-          this->ReleaseBrokenRuns();
-        });
+    http::ProbeConnect(this->context, this->timers, this->target_endpoint,
+                       kCrashCheckTimeout,
+                       [this, start = this->starts.current(),
+                        now = Now()](http::ConnectResult result) {
+                         if (result == http::ConnectResult::kRefused &&
+                             start == this->starts.current() &&
+                             this->state == TargetState::kTakesWork) {
+                           this->ConfirmCrash();
+                           this->SetState(TargetState::kGone, "crashed");
+                         } else if (result != http::ConnectResult::kRefused &&
+                                    !this->has_older_run(now)) {
+                           this->AssumeCold("all connections broke");
+                         }
+                         this->ReleaseBrokenRuns();
+                       });
   });
 }
 
--- a/tests/core/cold_start_test.cpp
+++ b/tests/core/cold_start_test.cpp
@@ -124,6 +124,16 @@
     const int stuck = Offer(target, now, seconds(5), written, seconds(60));
     CHECK(stuck <= kRate);
   }
+  SECTION("also when it wakes and takes in what was written meanwhile") {
+    target.OnAnnouncement(seconds(20), true, now);
+    Offer(target, now, seconds(5), arrivals, seconds(60));
+    for (int i = 0; i < static_cast<int>(kRate); ++i) {
+      target.OnWritten(false, now);
+    }
+    now += seconds(10);
+    target.OnWake(now);
+    CHECK(Offer(target, now, milliseconds(999), arrivals) == 0);
+  }
   SECTION("which is less than a request a second, too") {
     target.Configure({.rate_per_second = 0.5, .duration = seconds(3)}, now);
     target.OnAnnouncement(seconds(60), true, now);
