Cold targets: a silence that a health check disproves counts twice as long

Cause: requests that wait for another service made a healthy target silent again and again.

Change: the limit doubles with each disproved silence until a request is answered.

--- a/packages/sidecar/include/lycheewell/sidecar/requests/cold_watch.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/cold_watch.h
@@ -63,7 +63,7 @@
   void OnDone(core::Instant written_at) { this->cold.OnDone(written_at); }
 
   // The target has answered a request.
-  void OnHeard();
+  void OnAnswer();
 
   // Queries.
 
@@ -77,11 +77,15 @@
     return this->cold.service() && this->cold.service()->rate_per_second > 0;
   }
   void Tick(core::Instant due);
+  // There is a sign of life.
+  void OnHeard();
   void LookForSilence(bool is_late);
+  core::Duration SilenceLimit() const;
   void EndSilence();
   // The target is out of sight and can be asked.
   bool is_closed() const {
-    return this->is_silent && this->has_rate() && !this->health_path.empty();
+    return this->is_silent && this->has_rate() && !this->health_path.empty() &&
+           this->cold.is_assumed(Now());
   }
   bool IsCheckDue(core::Instant now) const;
   // Sends a health check if one is due.
@@ -102,6 +106,8 @@
   // Since when requests wait without a sign of life; nothing if none waits.
   std::optional<core::Instant> waiting_since;
   bool is_silent = false;
+  // Health checks that ended a silence since the last answer to a request.
+  int false_silences = 0;
   bool reported_closed = false;
   bool is_ticking = false;
   core::Instant last_check;
--- a/packages/sidecar/src/requests/cold_watch.cpp
+++ b/packages/sidecar/src/requests/cold_watch.cpp
@@ -16,6 +16,10 @@
 constexpr core::Duration kMinSilence = std::chrono::milliseconds(500);
 constexpr int kSilenceFactor = 4;
 
+// The limit doubles each time that a health check shows a silent target to be
+// there, up to this many times: its requests wait for something else.
+constexpr int kMaxFalseSilences = 3;
+
 // Minimum time between two health checks after a sign of coldness. Without a
 // new sign an announcement period lies between them.
 constexpr core::Duration kMinCheckInterval = std::chrono::milliseconds(200);
@@ -94,6 +98,11 @@
   }
 }
 
+void ColdWatch::OnAnswer() {
+  this->false_silences = 0;
+  this->OnHeard();
+}
+
 void ColdWatch::OnHeard() {
   this->waiting_since.reset();
   if (this->cold.unanswered() > 0) {
@@ -122,14 +131,18 @@
     // Answers may not have been read yet.
     this->waiting_since = now;
   }
-  const core::Duration limit =
-      std::max(kMinSilence, kSilenceFactor * this->options.mean_work());
-  if (this->waiting_since && now - *this->waiting_since > limit) {
+  if (this->waiting_since &&
+      now - *this->waiting_since > this->SilenceLimit()) {
     this->is_silent = true;
     this->Assume("silent");
   }
 }
 
+core::Duration ColdWatch::SilenceLimit() const {
+  return std::max(kMinSilence, kSilenceFactor * this->options.mean_work()) *
+         (1 << std::min(this->false_silences, kMaxFalseSilences));
+}
+
 void ColdWatch::Tick(core::Instant due) {
   const core::Instant now = Now();
   if (!this->has_rate()) {
@@ -215,6 +228,7 @@
       this->options.return_connection(connection);
     }
     if (this->is_silent) {
+      ++this->false_silences;
       this->EndSilence();
     }
     this->OnHeard();
--- a/packages/sidecar/src/requests/gate.cpp
+++ b/packages/sidecar/src/requests/gate.cpp
@@ -457,7 +457,7 @@
   GateReply reply;
   bool is_sample = false;
   if (auto* response = std::get_if<io::http::Response>(&outcome)) {
-    this->cold.OnHeard();
+    this->cold.OnAnswer();
     TargetAnswer answer = this->options.dialect.decode_answer(*response);
     this->TakeNotices(call, answer);
     if (answer.has_not_run) {
