Cold targets: the share alone paces senders; the soak plays a cold target

Cause: the throttle counts a target as offered whenever it is weighed, so a service with many cold targets held requests back that had room.

Change: a target that names a share is paced by it, the throttle serves limits without one. The soak's new fault: a target becomes cold; the promise: no more than its rate in any second.

--- a/packages/core/src/routing/target_selector.cpp
+++ b/packages/core/src/routing/target_selector.cpp
@@ -153,10 +153,11 @@
 
 bool TargetSelector::HasRoom(Entry& entry, int rank, Instant now,
                              RandomSource& random) {
-  return (!entry.load.share_per_second ||
-          entry.pace.HasRoom(*entry.load.share_per_second, now, random)) &&
-         (!entry.load.limit_per_second ||
-          entry.throttle.Offer(rank, now, random));
+  if (entry.load.share_per_second) {
+    return entry.pace.HasRoom(*entry.load.share_per_second, now, random);
+  }
+  return !entry.load.limit_per_second ||
+         entry.throttle.Offer(rank, now, random);
 }
 
 double TargetSelector::PlannedSlots(const Entry& entry) {
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -36,6 +36,7 @@
 constexpr int kNarrowBytesPerSecond = 20'000;
 constexpr int kKeys = 6;
 constexpr int kLimitPerSecond = 3;
+constexpr int kColdPerSecond = 2;
 
 void Sleep(milliseconds time) { std::this_thread::sleep_for(time); }
 
@@ -133,18 +134,24 @@
   Vm& vm = *this->fleet.at(static_cast<std::size_t>(number));
   std::string body;
   std::string path;
+  const milliseconds cold_left = vm.target->cold_left();
   {
     const std::lock_guard lock(vm.mutex);
     path = "/v1/instances/" + vm.instance + "/heartbeat";
     body = R"({"born":)" + std::to_string(vm.born_ms) +
            R"(,"info":{"service":"s","slots":8},"status":{"state":")" + state +
-           R"(","seq":)" + std::to_string(++vm.sequence) +
-           R"(,"cold_time":"0ms"}})";
+           R"(","seq":)" + std::to_string(++vm.sequence) + R"(,"cold_time":")" +
+           std::to_string(cold_left.count()) + R"(ms"}})";
   }
-  return HttpConnection(this->BasePort(number) + kAnnouncements)
-             .Send(
-                 {.method = "POST", .target = path, .id = "beat", .body = body})
-             .status == 200;
+  const bool is_acknowledged =
+      HttpConnection(this->BasePort(number) + kAnnouncements)
+          .Send({.method = "POST", .target = path, .id = "beat", .body = body})
+          .status == 200;
+  const std::lock_guard lock(vm.mutex);
+  if (is_acknowledged && cold_left > milliseconds(0) && !vm.cold_since) {
+    vm.cold_since = Clock::now();
+  }
+  return is_acknowledged;
 }
 
 void Fleet::AnnounceAll() {
@@ -209,7 +216,10 @@
       R"("priority","attempts","public","service"],"rows":[)"
       R"(["pay","a.example","/pay/","unsafe","3000ms","2000ms",0,2,false,"s"],)"
       R"(["look","a.example","/look/","safe","3000ms","2000ms",2,2,false,"s"]]},)"
-      R"("services":{"columns":["name","healthPath","maxConnections"],"rows":[["s","/h",99]]},)"
+      R"("services":{"columns":["name","healthPath","maxConnections","cold","coldPerS"],)"
+      R"("rows":[["s","/h",99,"3s",)" +
+      std::to_string(this->options.has_cold_rate ? kColdPerSecond : 0) +
+      R"(]]},)"
       R"("tenants":{"columns":["name","apiKeys","ratePerS","burst"],"rows":[)" +
       accounts + "]}}");
   if (!withdrawn_key.empty()) {
@@ -252,6 +262,9 @@
     case FaultKind::kLimitedTarget:
       this->LimitTarget(fault);
       break;
+    case FaultKind::kColdTarget:
+      this->CoolTarget(fault);
+      break;
   }
 }
 
@@ -360,6 +373,24 @@
   }
 }
 
+void Fleet::CoolTarget(const Fault& fault) {
+  Vm& vm = *this->fleet.at(static_cast<std::size_t>(fault.vm));
+  ColdTime cold{.per_second = kColdPerSecond};
+  {
+    const std::lock_guard lock(vm.mutex);
+    cold.instance = vm.instance;
+    vm.cold_since.reset();
+  }
+  cold.span.end = Clock::now() + fault.length;
+  vm.target->SetColdUntil(cold.span.end);
+  Sleep(fault.length);
+  const std::lock_guard lock(vm.mutex);
+  if (vm.cold_since) {
+    cold.span.begin = *vm.cold_since;
+    this->observations.AddColdTime(cold);
+  }
+}
+
 void Fleet::PlayOnTarget(const Fault& fault) {
   Vm& vm = *this->fleet.at(static_cast<std::size_t>(fault.vm));
   if (fault.kind == FaultKind::kLoseAnswers ||
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -24,7 +24,8 @@
 struct FleetOptions {
   int first_port = 24'000;
   int vms = 5;
-  std::string folder;  // settings and logs
+  std::string folder;          // settings and logs
+  bool has_cold_rate = false;  // stated in the manifest
   std::string daemon = std::string(LYCHEEWELL_BIN_DIR) + "/lycheewelld";
 };
 
@@ -65,6 +66,8 @@
     std::uint64_t sequence = 0;
     bool is_leaving = false;
     bool is_silent = false;
+    // Since when its daemon knows that it is cold.
+    std::optional<Clock::time_point> cold_since;
     bool is_stopped_on_purpose = false;
     bool has_ended = false;  // by itself
   };
@@ -83,6 +86,7 @@
   void PlayOnStore(const Fault& fault);
   void PlayOnTarget(const Fault& fault);
   void LimitTarget(const Fault& fault);
+  void CoolTarget(const Fault& fault);
   void PlayOnManifest(const Fault& fault);
 
   FleetOptions options;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -108,6 +108,11 @@
   Fleet fleet({.first_port = options.first_port,
                .vms = options.vms,
                .folder = options.logs,
+               .has_cold_rate = std::any_of(faults.begin(), faults.end(),
+                                            [](const Fault& fault) {
+                                              return fault.kind ==
+                                                     FaultKind::kColdTarget;
+                                            }),
                .daemon = options.daemon},
               observations);
   if (!fleet.AwaitReady(kReadyLimit)) {
--- a/tests/soak/promises.cpp
+++ b/tests/soak/promises.cpp
@@ -54,6 +54,11 @@
   this->limits.push_back(limit);
 }
 
+void Observations::AddColdTime(const ColdTime& cold) {
+  const std::lock_guard lock(this->mutex);
+  this->cold_times.push_back(cold);
+}
+
 void Observations::AddPlannedStop(int vm, const Span& span) {
   const std::lock_guard lock(this->mutex);
   this->planned_stops.emplace_back(vm, span);
@@ -78,6 +83,7 @@
   this->CheckDrains(bounds, broken);
   this->CheckRates(bounds, broken);
   this->CheckLimits(bounds, broken);
+  this->CheckColdTimes(bounds, broken);
   this->CheckPlannedStops(broken);
   return broken;
 }
@@ -187,6 +193,30 @@
   }
 }
 
+void Observations::CheckColdTimes(const Bounds& bounds,
+                                  std::vector<std::string>& broken) const {
+  constexpr std::chrono::seconds kWindow{1};
+  for (const ColdTime& cold : this->cold_times) {
+    std::vector<Clock::time_point> times;
+    for (const auto& [id, runs_of_request] : this->runs) {
+      for (const Run& run : runs_of_request) {
+        if (run.instance == cold.instance &&
+            run.at > cold.span.begin + kWindow && run.at < cold.span.end) {
+          times.push_back(run.at);
+        }
+      }
+    }
+    const double most =
+        cold.per_second * bounds.cold_factor + bounds.cold_slack;
+    const std::size_t largest = LargestCount(times, kWindow);
+    if (static_cast<double>(largest) > most) {
+      broken.push_back(cold.instance + " got " + std::to_string(largest) +
+                       " requests in a second while it was cold, " +
+                       std::to_string(static_cast<int>(most)) + " are allowed");
+    }
+  }
+}
+
 void Observations::CheckPlannedStops(std::vector<std::string>& broken) const {
   for (const Request& request : this->requests) {
     const bool is_lost = request.status == 0 && this->RunsOf(request.id) > 0;
--- a/tests/soak/promises.h
+++ b/tests/soak/promises.h
@@ -54,6 +54,15 @@
   bool operator==(const Limit&) const = default;
 };
 
+// A target had told its daemon that it is cold and takes this rate.
+struct ColdTime {
+  std::string instance;
+  int per_second = 0;
+  Span span;
+
+  bool operator==(const ColdTime&) const = default;
+};
+
 struct Bounds {
   std::chrono::milliseconds key_withdrawal{5'000};
   std::chrono::milliseconds drain{2'000};
@@ -69,6 +78,9 @@
   std::chrono::milliseconds limit_window{4'000};
   double limit_factor = 1.5;
   double limit_slack = 5;
+  // In any second after the first one a cold target may get this much more.
+  double cold_factor = 1.5;
+  double cold_slack = 8;
 };
 
 // Safe to use from several threads.
@@ -82,6 +94,7 @@
   // A daemon has acknowledged that the instance leaves.
   void AddLeaving(const std::string& instance, Clock::time_point at);
   void AddLimit(const Limit& limit);
+  void AddColdTime(const ColdTime& cold);
   // A planned stop of a daemon without any other fault around it.
   void AddPlannedStop(int vm, const Span& span);
 
@@ -103,6 +116,8 @@
   void CheckRates(const Bounds& bounds, std::vector<std::string>& broken) const;
   void CheckLimits(const Bounds& bounds,
                    std::vector<std::string>& broken) const;
+  void CheckColdTimes(const Bounds& bounds,
+                      std::vector<std::string>& broken) const;
   void CheckPlannedStops(std::vector<std::string>& broken) const;
   std::size_t RunsOf(const std::string& id) const;
 
@@ -112,6 +127,7 @@
   std::map<std::string, Clock::time_point> withdrawn_keys;
   std::map<std::string, Clock::time_point> leaving;  // by instance
   std::vector<Limit> limits;
+  std::vector<ColdTime> cold_times;
   std::vector<std::pair<int, Span>> planned_stops;
 };
 
--- a/tests/soak/promises_test.cpp
+++ b/tests/soak/promises_test.cpp
@@ -111,6 +111,23 @@
     add(23, 6'000);
     CHECK(seen.BrokenPromises({}).size() == 1);
   }
+  SECTION("more requests for a cold target than its rate") {
+    seen.AddColdTime({.instance = "i1",
+                      .per_second = 2,
+                      .span = {.begin = kStart, .end = kStart + seconds(9)}});
+    const auto add = [&](int number, int ms) {
+      const std::string id = "x" + std::to_string(number);
+      seen.AddRun(
+          {.id = id, .instance = "i1", .at = kStart + milliseconds(ms)});
+    };
+    for (int i = 0; i < 11; ++i) {
+      add(i, 3'100 + 10 * i);
+      add(100 + i, 100);  // it was warm in the second before
+    }
+    CHECK(seen.BrokenPromises({}).empty());
+    add(23, 4'000);
+    CHECK(seen.BrokenPromises({}).size() == 1);
+  }
   SECTION("an accepted request that a planned stop cut off") {
     Request cut = Answered("r2", 0);
     seen.AddRequest(cut);
--- a/tests/soak/schedule.cpp
+++ b/tests/soak/schedule.cpp
@@ -9,13 +9,13 @@
 namespace {
 using std::chrono::milliseconds;
 
-constexpr std::array<std::string_view, kFaultKinds + 1> kNames = {
-    "kill",          "planned-stop",   "pause",           "delay",
-    "reset-links",   "cut-one-way",    "silence",         "narrow",
-    "store-down",    "store-silent",   "store-slow",      "store-lost",
-    "withdraw-key",  "new-manifest",   "drain-target",    "crash-target",
-    "lose-answers",  "second-answers", "endless-answers", "silent-target",
-    "limited-target"};
+constexpr std::array<std::string_view, kFaultKinds + 2> kNames = {
+    "kill",           "planned-stop",   "pause",           "delay",
+    "reset-links",    "cut-one-way",    "silence",         "narrow",
+    "store-down",     "store-silent",   "store-slow",      "store-lost",
+    "withdraw-key",   "new-manifest",   "drain-target",    "crash-target",
+    "lose-answers",   "second-answers", "endless-answers", "silent-target",
+    "limited-target", "cold-target"};
 
 constexpr int kMinFaults = 4;
 constexpr int kMaxFaults = 9;
@@ -34,6 +34,10 @@
 constexpr std::uint64_t kLimitStream = 0x6c696d6974;
 constexpr milliseconds kLimitLength{9'000};
 
+// Half of the schedules have a target that becomes cold, also drawn apart.
+constexpr std::uint64_t kColdStream = 0x636f6c64;
+constexpr milliseconds kColdLength{6'000};
+
 bool IsStoreFault(FaultKind kind) {
   return kind == FaultKind::kStoreDown || kind == FaultKind::kStoreSilent;
 }
@@ -83,6 +87,14 @@
                       .vm = static_cast<int>(
                           limits() % static_cast<std::uint64_t>(options.vms))});
   }
+  std::mt19937_64 cold(options.seed ^ kColdStream);
+  if (cold() % 2 == 0) {
+    faults.push_back({.kind = FaultKind::kColdTarget,
+                      .at = milliseconds(cold() % 4'000),
+                      .length = kColdLength,
+                      .vm = static_cast<int>(
+                          cold() % static_cast<std::uint64_t>(options.vms))});
+  }
   std::stable_sort(
       faults.begin(), faults.end(),
       [](const Fault& left, const Fault& right) { return left.at < right.at; });
--- a/tests/soak/schedule.h
+++ b/tests/soak/schedule.h
@@ -31,6 +31,7 @@
   kEndlessAnswers,  // a target sends bytes without end
   kSilentTarget,    // a target's announcements stop, its work goes on
   kLimitedTarget,   // a target names the request rate that it takes
+  kColdTarget,      // a target becomes cold
 };
 
 // Kinds that any fault of a schedule may have.
--- a/tests/soak/target.cpp
+++ b/tests/soak/target.cpp
@@ -1,5 +1,6 @@
 #include "soak/target.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
@@ -67,6 +68,17 @@
   this->limit_named_at.reset();
 }
 
+void Target::SetColdUntil(Clock::time_point end) {
+  const std::lock_guard lock(this->mutex);
+  this->cold_until = end;
+}
+
+milliseconds Target::cold_left() {
+  const std::lock_guard lock(this->mutex);
+  return std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(
+                                       this->cold_until - Clock::now()));
+}
+
 std::optional<Clock::time_point> Target::named_at() {
   const std::lock_guard lock(this->mutex);
   return this->limit_named_at;
@@ -130,6 +142,15 @@
     }
     bytes.erase(0, body_size);
     const std::string id = HeaderOf(head, "Request-Id");
+    if (head.starts_with("GET /h ")) {
+      const std::string answer =
+          AnswerWith("health", "HTTP/1.1 200 OK\r\n",
+                     "Instance-Id: " + this->instance() + "\r\nCold-Ms: " +
+                         std::to_string(this->cold_left().count()) + "\r\n");
+      co_await asio::async_write(*socket, asio::buffer(answer),
+                                 asio::use_awaitable);
+      continue;
+    }
     if (HeaderOf(head, "Expected-Instance") != this->instance()) {
       const std::string answer = AnswerWith(
           id, "HTTP/1.1 421 Misdirected Request\r\n", "Not-Executed: 1\r\n");
--- a/tests/soak/target.h
+++ b/tests/soak/target.h
@@ -35,11 +35,14 @@
   void SetFault(TargetFault new_fault) { this->fault = new_fault; }
   // Answers name this limit in requests per second; 0: they name none.
   void SetLimit(int per_second);
+  // Health answers say that the target is cold until then.
+  void SetColdUntil(Clock::time_point end);
   // Ends all connections at once, as a crash does.
   void DropConnections();
 
   // Queries.
 
+  std::chrono::milliseconds cold_left();
   // When an answer named the current limit first.
   std::optional<Clock::time_point> named_at();
 
@@ -61,6 +64,7 @@
   std::mutex mutex;
   std::string instance_name;
   std::optional<Clock::time_point> limit_named_at;
+  Clock::time_point cold_until;
   std::atomic<TargetFault> fault = TargetFault::kNone;
   std::atomic<int> limit = 0;
   std::thread thread;
