--- a/tests/soak/promises.cpp
+++ b/tests/soak/promises.cpp
@@ -59,6 +59,11 @@
   this->evacuations.push_back(evacuation);
 }
 
+void Observations::AddColdTime(const ColdTime& cold) {
+  const std::lock_guard lock(this->mutex);
+  this->cold_times.push_back(cold);
+}
+
 void Observations::AddPlannedStop(int vm, const Span& span) {
   const std::lock_guard lock(this->mutex);
   this->planned_stops.emplace_back(vm, span);
@@ -84,6 +89,7 @@
   this->CheckRates(bounds, broken);
   this->CheckLimits(bounds, broken);
   this->CheckEvacuations(broken);
+  this->CheckColdTimes(bounds, broken);
   this->CheckPlannedStops(broken);
   return broken;
 }
@@ -212,6 +218,30 @@
   }
 }
 
+void Observations::CheckColdTimes(const Bounds& bounds,
+                                  std::vector<std::string>& broken) const {
+  constexpr std::chrono::seconds kWindow{1};
+  for (const ColdTime& cold : this->cold_times) {
+    std::vector<Clock::time_point> times;
+    for (const auto& [id, runs_of_request] : this->runs) {
+      for (const Run& run : runs_of_request) {
+        if (run.instance == cold.instance &&
+            run.at > cold.span.begin + kWindow && run.at < cold.span.end) {
+          times.push_back(run.at);
+        }
+      }
+    }
+    const double most =
+        cold.per_second * bounds.cold_factor + bounds.cold_slack;
+    const std::size_t largest = LargestCount(times, kWindow);
+    if (static_cast<double>(largest) > most) {
+      broken.push_back(cold.instance + " got " + std::to_string(largest) +
+                       " requests in a second while it was cold, " +
+                       std::to_string(static_cast<int>(most)) + " are allowed");
+    }
+  }
+}
+
 void Observations::CheckPlannedStops(std::vector<std::string>& broken) const {
   for (const Request& request : this->requests) {
     const bool is_lost = request.status == 0 && this->RunsOf(request.id) > 0;
--- a/tests/soak/schedule.cpp
+++ b/tests/soak/schedule.cpp
@@ -9,13 +9,13 @@
 namespace {
 using std::chrono::milliseconds;
 
-constexpr std::array<std::string_view, kFaultKinds + 2> kNames = {
-    "kill",          "planned-stop",   "pause",           "delay",
-    "reset-links",   "cut-one-way",    "silence",         "narrow",
-    "store-down",    "store-silent",   "store-slow",      "store-lost",
-    "withdraw-key",  "new-manifest",   "drain-target",    "crash-target",
-    "lose-answers",  "second-answers", "endless-answers", "silent-target",
-    "limited-target", "evacuate"};
+constexpr std::array<std::string_view, kFaultKinds + 3> kNames = {
+    "kill",           "planned-stop",   "pause",           "delay",
+    "reset-links",    "cut-one-way",    "silence",         "narrow",
+    "store-down",     "store-silent",   "store-slow",      "store-lost",
+    "withdraw-key",   "new-manifest",   "drain-target",    "crash-target",
+    "lose-answers",   "second-answers", "endless-answers", "silent-target",
+    "limited-target", "evacuate",       "cold-target"};
 
 constexpr int kMinFaults = 4;
 constexpr int kMaxFaults = 9;
@@ -45,6 +45,10 @@
           fault.kind <= FaultKind::kStoreLost);
 }
 
+// Half of the schedules have a target that becomes cold, also drawn apart.
+constexpr std::uint64_t kColdStream = 0x636f6c64;
+constexpr milliseconds kColdLength{6'000};
+
 bool IsStoreFault(FaultKind kind) {
   return kind == FaultKind::kStoreDown || kind == FaultKind::kStoreSilent;
 }
@@ -100,6 +104,15 @@
                       .at = milliseconds(evacuations() % 2'000),
                       .length = kEvacuationLength});
   }
+
+  std::mt19937_64 cold(options.seed ^ kColdStream);
+  if (cold() % 2 == 0) {
+    faults.push_back({.kind = FaultKind::kColdTarget,
+                      .at = milliseconds(cold() % 4'000),
+                      .length = kColdLength,
+                      .vm = static_cast<int>(
+                          cold() % static_cast<std::uint64_t>(options.vms))});
+  }
   std::stable_sort(
       faults.begin(), faults.end(),
       [](const Fault& left, const Fault& right) { return left.at < right.at; });
