--- a/packages/client/src/command_line.cpp
+++ b/packages/client/src/command_line.cpp
@@ -228,15 +228,15 @@
 ExitCode PlanEvacuate(const Arguments& arguments) {
   PlanCommand plan("keeps new work from a data centre", "data-centre");
   plan.Parse(arguments);
-  return plan.Plan(OneIntent(
-      core::configuration::EvacuationObject(plan.name()), json::object{}));
+  return plan.Plan(OneIntent(core::configuration::EvacuationObject(plan.name()),
+                             json::object{}));
 }
 
 ExitCode PlanEndEvacuation(const Arguments& arguments) {
   PlanCommand plan("takes an evacuation back", "data-centre");
   plan.Parse(arguments);
-  return plan.Plan(OneIntent(
-      core::configuration::EvacuationObject(plan.name()), std::nullopt));
+  return plan.Plan(OneIntent(core::configuration::EvacuationObject(plan.name()),
+                             std::nullopt));
 }
 
 ExitCode Undo(const Arguments& arguments) {
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -122,9 +122,9 @@
         loop_monitor(this->timers, this->log, this->counters),
         store(this->options.make_store(this->context, this->timers,
                                        this->options.settings)),
-        manifest(this->timers, this->options.dialect, this->store, this->log,
-                 {.adoption_bound =
-                      AdoptionBound(this->options.settings.bounds)}),
+        manifest(
+            this->timers, this->options.dialect, this->store, this->log,
+            {.adoption_bound = AdoptionBound(this->options.settings.bounds)}),
         evacuations(this->timers, this->log, this->counters,
                     this->EvacuationHooks()),
         mesh(this->context, this->timers, this->log,
@@ -896,7 +896,8 @@
          << "\nlycheewell_target_mean_work_seconds "
          << static_cast<double>(load.mean_work_us()) / 1e6
          << "\nlycheewell_target_failing_part "
-         << load.failing_permille() / 1000.0 << "\nlycheewell_targets_evacuated "
+         << load.failing_permille() / 1000.0
+         << "\nlycheewell_targets_evacuated "
          << this->front.selector().CountEvacuatedTargets() << "\n";
     this->evacuations.RenderMetrics(text);
     for (const auto& decision : this->front.demand().Decisions()) {
--- a/tests/soak/schedule.cpp
+++ b/tests/soak/schedule.cpp
@@ -10,11 +10,11 @@
 using std::chrono::milliseconds;
 
 constexpr std::array<std::string_view, kFaultKinds + 2> kNames = {
-    "kill",          "planned-stop",   "pause",           "delay",
-    "reset-links",   "cut-one-way",    "silence",         "narrow",
-    "store-down",    "store-silent",   "store-slow",      "store-lost",
-    "withdraw-key",  "new-manifest",   "drain-target",    "crash-target",
-    "lose-answers",  "second-answers", "endless-answers", "silent-target",
+    "kill",           "planned-stop",   "pause",           "delay",
+    "reset-links",    "cut-one-way",    "silence",         "narrow",
+    "store-down",     "store-silent",   "store-slow",      "store-lost",
+    "withdraw-key",   "new-manifest",   "drain-target",    "crash-target",
+    "lose-answers",   "second-answers", "endless-answers", "silent-target",
     "limited-target", "evacuate"};
 
 constexpr int kMinFaults = 4;
