Calls of running requests wait for as long as their callers (admission.patient_calls)

Cause: a lookup that is refused ends the request that waits for it, after all work for it. It was refused when its expected start lay behind its route's latency target, and offered to up to three targets of the same full service. Change: a call waits until its caller gives up, less its own work. Bursts go by arrival; in a standing queue the oldest client request goes first, as far as calls know it (mesh Call 22, 23). A refused call goes to another target only where it waits less.

--- a/packages/core/include/lycheewell/core/overload/call_tracker.h
+++ b/packages/core/include/lycheewell/core/overload/call_tracker.h
@@ -38,6 +38,9 @@
 
   std::size_t running() const { return this->tickets.size(); }
 
+  // The running request whose deadline a call shares, or nothing if none does.
+  std::optional<std::uint64_t> FindByDeadline(Instant call_deadline) const;
+
  private:
   struct RunningRequest {
     std::string route;
@@ -53,7 +56,6 @@
     std::int64_t chance_matches = 0;
   };
 
-  std::optional<std::uint64_t> FindByDeadline(Instant call_deadline) const;
   bool MakesCalls(const std::string& route,
                   const std::string& call_route) const;
 
--- a/packages/core/include/lycheewell/core/overload/slot_gate.h
+++ b/packages/core/include/lycheewell/core/overload/slot_gate.h
@@ -21,6 +21,9 @@
   Instant arrived_at;
   // The request is refused if it has no slot by this time.
   Instant latest_start;
+  // Among requests of one rank the earliest turn goes first, then the first to
+  // arrive.
+  Instant turn{};
 
   bool operator==(const SlotRequest&) const = default;
 };
@@ -81,7 +84,12 @@
   std::size_t waiting() const { return this->by_ticket.size(); }
 
   // Expected wait of a new request of `rank`.
-  Duration ExpectedWait(int rank) const;
+  Duration ExpectedWait(int rank, Instant turn = Instant::max()) const;
+
+  // Time since the queue was last empty.
+  Duration queue_age(Instant now) const {
+    return this->queues.empty() ? Duration::zero() : now - this->queued_since;
+  }
 
   // Moving average of the time for which a request holds a slot.
   Duration mean_work() const;
@@ -91,13 +99,15 @@
   Instant next_expiry() const;
 
  private:
-  // Waiting requests of one rank by arrival number.
-  using Queue = std::map<std::uint64_t, SlotRequest>;
+  // Waiting requests of one rank by turn and arrival number.
+  using Position = std::pair<Instant, std::uint64_t>;
+  using Queue = std::map<Position, SlotRequest>;
 
   // Mean interval between releases of slots while all are busy.
   double ReleaseIntervalNs() const;
   // Expected wait of a request behind `ahead_in_rank` others of its rank.
   Duration ExpectedWaitBehind(int rank, std::size_t ahead_in_rank) const;
+  std::size_t CountAhead(int rank, Instant turn) const;
   std::map<int, Queue>::iterator SelectQueue();
   void Erase(std::map<int, Queue>::iterator queue, Queue::iterator entry);
 
@@ -105,9 +115,10 @@
   int busy_slots = 0;
   double mean_work_ns = 0;
   std::uint64_t arrivals = 0;
+  Instant queued_since;  // valid while requests wait
   std::uint64_t selections = 0;
   std::map<int, Queue> queues;  // by rank; no queue is empty
-  std::unordered_map<std::uint64_t, std::pair<int, std::uint64_t>> by_ticket;
+  std::unordered_map<std::uint64_t, std::pair<int, Position>> by_ticket;
 };
 
 }  // namespace lycheewell::core::overload
--- a/packages/core/src/overload/slot_gate.cpp
+++ b/packages/core/src/overload/slot_gate.cpp
@@ -1,6 +1,7 @@
 #include "lycheewell/core/overload/slot_gate.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace lycheewell::core::overload {
 namespace {
@@ -40,13 +41,23 @@
       static_cast<Duration::rep>(releases * this->ReleaseIntervalNs()));
 }
 
-Duration SlotGate::ExpectedWait(int rank) const {
-  if (this->busy_slots < this->slot_count) {
-    return Duration::zero();
-  }
+std::size_t SlotGate::CountAhead(int rank, Instant turn) const {
   const auto queue = this->queues.find(rank);
-  return this->ExpectedWaitBehind(
-      rank, queue == this->queues.end() ? 0 : queue->second.size());
+  if (queue == this->queues.end()) {
+    return 0;
+  }
+  if (queue->second.rbegin()->first.first <= turn) {
+    return queue->second.size();  // also where all have the same turn
+  }
+  return static_cast<std::size_t>(
+      std::distance(queue->second.begin(),
+                    queue->second.upper_bound({turn, this->arrivals + 1})));
+}
+
+Duration SlotGate::ExpectedWait(int rank, Instant turn) const {
+  return this->busy_slots < this->slot_count
+             ? Duration::zero()
+             : this->ExpectedWaitBehind(rank, this->CountAhead(rank, turn));
 }
 
 Duration SlotGate::mean_work() const {
@@ -58,12 +69,16 @@
     ++this->busy_slots;
     return SlotDecision::kRun;
   }
-  if (now + this->ExpectedWait(request.rank) > request.latest_start) {
+  if (now + this->ExpectedWait(request.rank, request.turn) >
+      request.latest_start) {
     return SlotDecision::kRefuse;
   }
-  const std::uint64_t arrival = ++this->arrivals;
-  this->queues[request.rank].emplace(arrival, request);
-  this->by_ticket.emplace(request.ticket, std::pair{request.rank, arrival});
+  if (this->queues.empty()) {
+    this->queued_since = now;
+  }
+  const Position position{request.turn, ++this->arrivals};
+  this->queues[request.rank].emplace(position, request);
+  this->by_ticket.emplace(request.ticket, std::pair{request.rank, position});
   return SlotDecision::kWait;
 }
 
@@ -136,16 +151,16 @@
   if (found == this->by_ticket.end()) {
     return false;
   }
-  const auto [rank, arrival] = found->second;
+  const auto [rank, position] = found->second;
   const auto queue = this->queues.find(rank);
-  this->Erase(queue, queue->second.find(arrival));
+  this->Erase(queue, queue->second.find(position));
   return true;
 }
 
 Instant SlotGate::next_expiry() const {
   Instant earliest = Instant::max();
   for (const auto& [rank, queue] : this->queues) {
-    for (const auto& [arrival, request] : queue) {
+    for (const auto& [position, request] : queue) {
       earliest = std::min(earliest, request.latest_start);
     }
   }
--- a/packages/daemon/include/lycheewell/daemon/events/event_catalogue.h
+++ b/packages/daemon/include/lycheewell/daemon/events/event_catalogue.h
@@ -41,6 +41,7 @@
   kEntryPartChanged = 2108,
   kCallHeldBack = 2109,
   kCallArrivedLate = 2110,
+  kCallWaited = 2114,
 
   kLogUnreachable = 3001,
   kLogReachable = 3002,
--- a/packages/sidecar/include/lycheewell/sidecar/requests/frontend.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/frontend.h
@@ -116,6 +116,10 @@
               const core::routing::Choice& choice);
   void OnOutcome(const PendingPointer& pending, GateReply reply);
   void OnNotRun(const PendingPointer& pending, const GateReply& reply);
+  // Whether to send a request that has been refused to another target.
+  static bool MayTry(const PendingPointer& pending,
+                     const core::routing::Choice& choice,
+                     const GateReply& refusal, core::Instant now);
   void OnTimeout(const PendingPointer& pending);
   // Cancels the current call, if any. Returns whether it may have run.
   bool CancelCall(const PendingPointer& pending);
--- a/packages/sidecar/include/lycheewell/sidecar/requests/gate.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/gate.h
@@ -45,6 +45,9 @@
   // A request that is not expected to be answered by then is refused.
   core::Instant soft_deadline;
   int rank = 0;
+  // Of a call that waits with patience; see core::overload::CallTimes.
+  std::optional<core::Instant> root_arrived_at;
+  bool is_root_known = false;
   bool is_idempotent = false;
   // Another target of the service has refused it.
   bool was_refused = false;
@@ -57,6 +60,8 @@
 struct CallOrigin {
   std::string route;  // of the client request
   int rank = 0;
+  // Arrival of the client request; empty if the request is only a likely one.
+  std::optional<core::Instant> root_arrived_at;
 
   bool operator==(const CallOrigin&) const = default;
 };
@@ -160,6 +165,7 @@
     Callback done;
     std::unique_ptr<http::BodyAllowance> body_allowance;
     std::shared_ptr<http::ClientConnection> connection;
+    core::Instant submitted_at;
     core::Instant started_at;
     core::DaemonRef start;  // of the target, when the run began
     TimerQueue::Id timer = 0;
@@ -184,8 +190,11 @@
   void OfferNextSuspect();
   // Forgets the call; the next suspect takes its turn.
   void EraseCall(Ticket ticket);
+  // When the call's answer is no longer of use.
+  core::Instant AnswerBy(const GateCall& call) const;
   core::Instant LatestStart(const GateCall& call) const;
   void RecordRun(const Call& call, GateReply& reply, core::Instant now);
+  void LogLongWait(const Call& call, core::Instant now);
   void Run(Ticket ticket);
   // Accounts for the end of a running call.
   void ReleaseSlot(Ticket ticket, const Call& call, core::Instant now);
--- a/packages/sidecar/include/lycheewell/sidecar/settings.h
+++ b/packages/sidecar/include/lycheewell/sidecar/settings.h
@@ -30,6 +30,15 @@
   bool operator==(const BoundSettings&) const = default;
 };
 
+// Optional parts of the admission control. All are off unless the settings ask
+// for them.
+struct AdmissionSettings {
+  // Calls of running requests wait for as long as their callers do.
+  bool patient_calls = false;
+
+  bool operator==(const AdmissionSettings&) const = default;
+};
+
 struct Settings {
   std::string name;
   std::string data_centre;
@@ -47,6 +56,7 @@
   // Approximate time between two announcements of a target.
   core::Duration announcement_period = std::chrono::milliseconds(1500);
   BoundSettings bounds;
+  AdmissionSettings admission;
 
   bool operator==(const Settings&) const = default;
 };
--- a/packages/sidecar/src/requests/frontend.cpp
+++ b/packages/sidecar/src/requests/frontend.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <cmath>
 
+#include "lycheewell/core/overload/call_patience.h"
 #include "lycheewell/sidecar/clock.h"
 
 namespace lycheewell::sidecar::requests {
@@ -107,6 +108,9 @@
   core::Instant deadline;
   core::Instant soft_deadline;
   int rank = 0;
+  // Of a call that waits with patience; see core::overload::CallTimes.
+  std::optional<core::Instant> root_arrived_at;
+  bool is_root_known = false;
   bool holds_token = false;  // of its account's rate
   int attempts = 0;          // sends that reached or may have reached a target
   int refusals = 0;          // answers that the request was not run
@@ -287,6 +291,11 @@
     rank = origin->rank >= kClientRequestRankBase
                ? origin->rank - kClientRequestRankBase
                : origin->rank;
+    if (this->options.settings.admission.patient_calls) {
+      pending->is_root_known = origin->root_arrived_at.has_value();
+      pending->root_arrived_at =
+          origin->root_arrived_at.value_or(pending->arrived_at);
+    }
   }
   pending->rank = rank;
   pending->fingerprint = core::quarantine::FingerprintOf(
@@ -367,7 +376,9 @@
                              : kNotReadyRetryAfter);
     return;
   }
-  if (now + choice->expected_wait > pending->soft_deadline) {
+  // Only the gate knows the turn of a call that waits with patience.
+  if (!pending->root_arrived_at &&
+      now + choice->expected_wait > pending->soft_deadline) {
     this->Refuse(pending, 503, kNoSlotExpected,
                  std::max(choice->expected_wait,
                           FractionOfLatencyTarget(*pending->route,
@@ -417,6 +428,8 @@
          .deadline = pending->deadline,
          .soft_deadline = pending->soft_deadline,
          .rank = pending->rank,
+         .root_arrived_at = pending->root_arrived_at,
+         .is_root_known = pending->is_root_known,
          .is_idempotent = pending->route->is_idempotent,
          .was_refused = pending->refusals > 0,
          .fingerprint = pending->fingerprint,
@@ -447,6 +460,10 @@
   call.set_time_left_ms(MillisecondsLeft(pending->deadline, now));
   call.set_queue_limit_ms(MillisecondsLeft(pending->soft_deadline, now));
   call.set_rank(static_cast<std::uint32_t>(std::max(0, pending->rank)));
+  if (pending->root_arrived_at) {
+    call.set_root_age_ms(MillisecondsLeft(now, *pending->root_arrived_at));
+    call.set_is_root_known(pending->is_root_known);
+  }
   call.set_route(pending->route->name);
   call.set_origin(pending->origin);
   call.set_was_refused(pending->refusals > 0);
@@ -619,6 +636,19 @@
   this->Dispatch(pending);
 }
 
+bool Frontend::MayTry(const PendingPointer& pending,
+                      const core::routing::Choice& choice,
+                      const GateReply& refusal, core::Instant now) {
+  if (pending->root_arrived_at && refusal.reason == kNoSlot) {
+    return core::overload::IsWorthAnotherTry(
+        {.answer_by = pending->deadline,
+         .refused_wait = refusal.retry_after,
+         .other_wait = choice.expected_wait},
+        now);
+  }
+  return now + choice.expected_wait <= pending->soft_deadline;
+}
+
 void Frontend::OnNotRun(const PendingPointer& pending, const GateReply& reply) {
   const core::Instant now = Now();
   ++pending->refusals;
@@ -643,7 +673,7 @@
                                .Spend(this->options.mesh.daemon_count(), now)));
   const auto choice =
       may_try_other_target ? this->ChooseTarget(pending, now) : std::nullopt;
-  if (!choice || now + choice->expected_wait > pending->soft_deadline) {
+  if (!choice || !this->MayTry(pending, *choice, reply, now)) {
     // The backoff of a limited target is meant for daemons, not for clients.
     this->Refuse(pending, 503, reply.reason,
                  std::max(reply.reason == kOverLimit ? core::Duration::zero()
--- a/packages/sidecar/src/requests/gate.cpp
+++ b/packages/sidecar/src/requests/gate.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/post.hpp>
 #include <utility>
 
+#include "lycheewell/core/overload/call_patience.h"
 #include "lycheewell/io/http/address.h"
 #include "lycheewell/sidecar/clock.h"
 #include "lycheewell/sidecar/http/connect_probe.h"
@@ -90,6 +91,11 @@
   return {.id = target.instance, .incarnation = target.born_ms};
 }
 
+// Requests of clients take turns by arrival.
+core::Instant TurnOf(const GateCall& call) {
+  return call.root_arrived_at.value_or(core::Instant());
+}
+
 bool NeedsContentLength(const GateCall& call) {
   return !call.body.empty() || call.method == "POST" || call.method == "PUT" ||
          call.method == "PATCH";
@@ -124,6 +130,7 @@
   const Ticket ticket = ++this->last_ticket;
   const core::Instant now = Now();
   Call& entry = this->calls[ticket];
+  entry.submitted_at = now;
   entry.request = std::move(call);
   entry.done = std::move(done);
   entry.body_allowance =
@@ -157,11 +164,25 @@
   return ticket;
 }
 
+core::Instant Gate::AnswerBy(const GateCall& call) const {
+  if (!call.root_arrived_at) {
+    return call.soft_deadline;
+  }
+  const core::Instant now = Now();
+  return core::overload::PatienceOf({.offered_at = now,
+                                     .deadline = call.deadline,
+                                     .soft_deadline = call.soft_deadline,
+                                     .root_arrived_at = *call.root_arrived_at,
+                                     .is_root_known = call.is_root_known},
+                                    this->slots.queue_age(now))
+      .answer_by;
+}
+
 core::Instant Gate::LatestStart(const GateCall& call) const {
   const auto work = core::Duration(static_cast<core::Duration::rep>(
       kWorkMarginFactor *
       static_cast<double>(this->MeanWorkOf(call.route).count())));
-  return std::min(call.soft_deadline - work, call.deadline - work / 2);
+  return std::min(this->AnswerBy(call) - work, call.deadline - work / 2);
 }
 
 void Gate::OfferSuspect(Ticket ticket) {
@@ -228,7 +249,8 @@
       this->slots.Offer({.ticket = ticket,
                          .rank = request.rank,
                          .arrived_at = now,
-                         .latest_start = this->LatestStart(request)},
+                         .latest_start = this->LatestStart(request),
+                         .turn = TurnOf(request)},
                         now);
   switch (verdict) {
     case core::overload::SlotDecision::kRun:
@@ -238,7 +260,8 @@
       this->ScheduleExpiry();
       break;
     case core::overload::SlotDecision::kRefuse:
-      this->Refuse(ticket, kNoSlot, this->slots.ExpectedWait(request.rank));
+      this->Refuse(ticket, kNoSlot,
+                   this->slots.ExpectedWait(request.rank, TurnOf(request)));
       break;
   }
 }
@@ -291,6 +314,21 @@
   }
 }
 
+void Gate::LogLongWait(const Call& call, core::Instant now) {
+  const GateCall& request = call.request;
+  if (request.root_arrived_at &&
+      now + this->MeanWorkOf(request.route) > request.soft_deadline &&
+      this->log.WouldWrite(Event::kCallWaited)) {
+    this->log.Write(
+        Event::kCallWaited,
+        {{"request", request.request_id},
+         {"route", request.route},
+         {"waited_ms", MillisecondsText(now - call.submitted_at)},
+         {"root_age_ms", MillisecondsText(now - *request.root_arrived_at)},
+         {"root_known", request.is_root_known ? "yes" : "no"}});
+  }
+}
+
 void Gate::Run(Ticket ticket) {
   Call& call = this->calls.at(ticket);
   const core::Instant now = Now();
@@ -298,6 +336,7 @@
   call.holds_limit_token = false;
   call.started_at = now;
   call.start = this->starts.current();
+  this->LogLongWait(call, now);
   this->tracker.Begin(ticket, call.request.route,
                       now + std::chrono::floor<std::chrono::milliseconds>(
                                 call.request.deadline - now));
@@ -368,8 +407,16 @@
   if (!ticket) {
     return std::nullopt;
   }
-  const GateCall& caller = this->calls.at(*ticket).request;
-  return CallOrigin{.route = caller.origin, .rank = caller.rank};
+  const Call& caller = this->calls.at(*ticket);
+  CallOrigin origin{.route = caller.request.origin,
+                    .rank = caller.request.rank};
+  const bool is_known =
+      !caller.request.root_arrived_at || caller.request.is_root_known;
+  if (is_known && this->tracker.FindByDeadline(call_deadline) == ticket) {
+    origin.root_arrived_at =
+        caller.request.root_arrived_at.value_or(caller.submitted_at);
+  }
+  return origin;
 }
 
 void Gate::RecordRun(const Call& call, GateReply& reply, core::Instant now) {
--- a/packages/sidecar/src/settings.cpp
+++ b/packages/sidecar/src/settings.cpp
@@ -105,6 +105,19 @@
     return number;
   }
 
+  // A switch that is off when it is left out.
+  bool Switch(std::initializer_list<std::string_view> path) {
+    const json::value* value = this->Find(path);
+    if (value == nullptr || value->is_null()) {
+      return false;
+    }
+    if (!value->is_bool()) {
+      this->Report(path, "is not true or false");
+      return false;
+    }
+    return value->get_bool();
+  }
+
  private:
   const json::value* Find(std::initializer_list<std::string_view> path) const {
     const json::object* object = &this->root;
@@ -196,21 +209,23 @@
       .store_address = reader.Address({"store", "address"}),
       .announcement_period = reader.Time({"target", "announcement_period"},
                                          Settings().announcement_period),
-      .bounds = {
-          .manifest_adoption = reader.Time({"bounds", "manifest_adoption"},
-                                           defaults.manifest_adoption),
-          .key_withdrawal = reader.Time({"bounds", "key_withdrawal"},
-                                        defaults.key_withdrawal),
-          .stop_grace =
-              reader.Time({"bounds", "stop_grace"}, defaults.stop_grace),
-          .repeat_ratio =
-              reader.Number({"bounds", "repeat_ratio"}, defaults.repeat_ratio),
-          .repeat_base =
-              reader.Number({"bounds", "repeat_base"}, defaults.repeat_base),
-          .repeat_window =
-              reader.Time({"bounds", "repeat_window"}, defaults.repeat_window),
-          .account_window = reader.Time({"bounds", "account_window"},
-                                        defaults.account_window)}};
+      .bounds = {.manifest_adoption =
+                     reader.Time({"bounds", "manifest_adoption"},
+                                 defaults.manifest_adoption),
+                 .key_withdrawal = reader.Time({"bounds", "key_withdrawal"},
+                                               defaults.key_withdrawal),
+                 .stop_grace =
+                     reader.Time({"bounds", "stop_grace"}, defaults.stop_grace),
+                 .repeat_ratio = reader.Number({"bounds", "repeat_ratio"},
+                                               defaults.repeat_ratio),
+                 .repeat_base = reader.Number({"bounds", "repeat_base"},
+                                              defaults.repeat_base),
+                 .repeat_window = reader.Time({"bounds", "repeat_window"},
+                                              defaults.repeat_window),
+                 .account_window = reader.Time({"bounds", "account_window"},
+                                               defaults.account_window)},
+      .admission = {.patient_calls =
+                        reader.Switch({"admission", "patient_calls"})}};
   if (settings.bounds.manifest_adoption < kMinManifestBound) {
     problems.push_back(
         {"sidecar.bounds.manifest_adoption", "is shorter than 100ms"});
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -554,6 +554,14 @@
     return std::max(core::Duration::zero(), arrived_at - sent_at);
   }
 
+  static std::optional<core::Instant> RootArrival(const mesh::Call& call,
+                                                  core::Instant sent_at) {
+    return call.has_root_age_ms()
+               ? std::optional(sent_at -
+                               std::chrono::milliseconds(call.root_age_ms()))
+               : std::nullopt;
+  }
+
   void OnCall(const links::LinkPointer& link, mesh::Call& call) {
     // The time limits count from when the call was sent: it may have been held
     // up on the link, or unread while this daemon was paused.
@@ -582,6 +590,8 @@
          .soft_deadline =
              now + std::chrono::milliseconds(call.queue_limit_ms()),
          .rank = static_cast<int>(call.rank()),
+         .root_arrived_at = RootArrival(call, now),
+         .is_root_known = call.is_root_known(),
          .is_idempotent = call.is_idempotent(),
          .was_refused = call.was_refused(),
          .fingerprint = call.fingerprint(),
--- a/tests/platform/adapter_test.cpp
+++ b/tests/platform/adapter_test.cpp
@@ -298,6 +298,20 @@
   CHECK(std::get<sidecar::Settings>(parsed).advertised_links_port == 7000);
   CHECK(std::get<sidecar::Settings>(parsed).bounds.account_window ==
         std::chrono::seconds(4));
+  CHECK(std::get<sidecar::Settings>(parsed).admission.patient_calls);
+
+  SECTION("an admission switch is off when left out, and true or false") {
+    const std::size_t at = text.find("\"patient_calls\": true");
+    REQUIRE(at != std::string::npos);
+    text.replace(at, 21, "");
+    CHECK_FALSE(std::get<sidecar::Settings>(sidecar::ParseSettings(text))
+                    .admission.patient_calls);
+    text.insert(at, "\"patient_calls\": 1");
+    const auto wrong = sidecar::ParseSettings(text);
+    REQUIRE(std::holds_alternative<daemon::settings::Problems>(wrong));
+    CHECK(std::get<daemon::settings::Problems>(wrong).front().path ==
+          "sidecar.admission.patient_calls");
+  }
 
   SECTION("an account window that is too short is rejected") {
     const std::size_t at = text.find("\"4s\"");
