Client accounts share the room of a route by their rates (admission.account_turns)

Cause: while a route's admitted fraction is below 1, the entry admits that fraction of the requests as they come: an account that sends many times its usual, or whose clients repeat at once, gets room at the cost of the others. Change: the fraction says how many enter, account_turns which: max-min fair by the accounts' rates, without idle room for absent ones; bounded state.

--- a/packages/daemon/include/lycheewell/daemon/events/event_catalogue.h
+++ b/packages/daemon/include/lycheewell/daemon/events/event_catalogue.h
@@ -42,6 +42,7 @@
   kCallHeldBack = 2109,
   kCallArrivedLate = 2110,
   kCallWaited = 2114,
+  kAccountCut = 2115,
 
   kLogUnreachable = 3001,
   kLogReachable = 3002,
--- a/packages/daemon/src/events/event_catalogue.cpp
+++ b/packages/daemon/src/events/event_catalogue.cpp
@@ -34,6 +34,7 @@
       {Event::kCallHeldBack, Level::kWarn, "call-held-back"},
       {Event::kCallArrivedLate, Level::kInfo, "call-arrived-late"},
       {Event::kCallWaited, Level::kInfo, "call-waited"},
+      {Event::kAccountCut, Level::kInfo, "account-cut"},
       {Event::kLogUnreachable, Level::kWarn, "log-unreachable"},
       {Event::kLogReachable, Level::kInfo, "log-reachable"},
       {Event::kRecordApplied, Level::kInfo, "record-applied"},
--- a/packages/sidecar/include/lycheewell/sidecar/requests/frontend.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/frontend.h
@@ -13,6 +13,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "lycheewell/core/overload/account_turns.h"
 #include "lycheewell/core/overload/demand_model.h"
 #include "lycheewell/core/retry/window_budget.h"
 #include "lycheewell/core/routing/route_table.h"
@@ -109,6 +110,8 @@
   // Admits or rejects a client request by the capacity of the downstream
   // services, and counts it.
   bool AdmitByDemand(const PendingPointer& pending);
+  // Decides by the account which of a route's requests enter.
+  bool AdmitByAccount(const PendingPointer& pending, bool is_granted);
   void Dispatch(const PendingPointer& pending);
   std::optional<core::routing::Choice> ChooseTarget(
       const PendingPointer& pending, core::Instant now);
@@ -144,6 +147,9 @@
   Options options;
   core::routing::TargetSelector targets;
   core::overload::DemandModel demand_model;
+  // By route and priority of the request.
+  std::map<std::pair<std::string, int>, core::overload::AccountTurns>
+      account_turns;
   std::map<std::string, EntryCounts> counts_by_route;
   std::map<std::string, double> logged_fractions;  // by route
   core::Instant starved_call_at;
--- a/packages/sidecar/include/lycheewell/sidecar/settings.h
+++ b/packages/sidecar/include/lycheewell/sidecar/settings.h
@@ -35,6 +35,8 @@
 struct AdmissionSettings {
   // Calls of running requests wait for as long as their callers do.
   bool patient_calls = false;
+  // Client accounts share the room of a route by their rates.
+  bool account_turns = false;
 
   bool operator==(const AdmissionSettings&) const = default;
 };
--- a/packages/sidecar/src/requests/frontend.cpp
+++ b/packages/sidecar/src/requests/frontend.cpp
@@ -222,13 +222,43 @@
   }
   EntryCounts& counts = this->counts_by_route[route.name];
   ++counts.offered;
-  if (!this->demand_model.Admit(route.name, route.priority)) {
+  const bool is_granted = this->demand_model.Admit(route.name, route.priority);
+  if (!(this->options.settings.admission.account_turns
+            ? this->AdmitByAccount(pending, is_granted)
+            : is_granted)) {
     return false;
   }
   ++counts.entered;
   return true;
 }
 
+bool Frontend::AdmitByAccount(const PendingPointer& pending, bool is_granted) {
+  using core::overload::AccountVerdict;
+  const Route& route = *pending->route;
+  const core::manifest::Account& account = *pending->account;
+  core::overload::AccountTurns& turns = this->account_turns[{
+      route.name, account.priority.value_or(route.priority)}];
+  const AccountVerdict verdict = turns.Offer(
+      {.account = account.name,
+       .weight = account.rate_per_second,
+       .admitted_fraction = this->demand_model.admitted_fraction(route.name),
+       .is_granted = is_granted},
+      Now(), this->random);
+  if (verdict == AccountVerdict::kAdmit) {
+    return true;
+  }
+  const bool is_over_part = verdict == AccountVerdict::kOverPart;
+  this->options.counters.Count(
+      "entry_refused", is_over_part ? "over its part" : "within its part");
+  if (is_over_part && this->log.WouldWrite(Event::kAccountCut)) {
+    this->log.Write(Event::kAccountCut,
+                    {{"account", account.name},
+                     {"route", route.name},
+                     {"part", std::to_string(turns.PartOf(account.name))}});
+  }
+  return false;
+}
+
 void Frontend::LogAdmittedFractions() {
   for (const auto& decision : this->demand_model.Decisions()) {
     double& logged =
--- a/packages/sidecar/src/settings.cpp
+++ b/packages/sidecar/src/settings.cpp
@@ -224,8 +224,9 @@
                                               defaults.repeat_window),
                  .account_window = reader.Time({"bounds", "account_window"},
                                                defaults.account_window)},
-      .admission = {.patient_calls =
-                        reader.Switch({"admission", "patient_calls"})}};
+      .admission = {
+          .patient_calls = reader.Switch({"admission", "patient_calls"}),
+          .account_turns = reader.Switch({"admission", "account_turns"})}};
   if (settings.bounds.manifest_adoption < kMinManifestBound) {
     problems.push_back(
         {"sidecar.bounds.manifest_adoption", "is shorter than 100ms"});
--- a/tests/platform/adapter_test.cpp
+++ b/tests/platform/adapter_test.cpp
@@ -299,14 +299,15 @@
   CHECK(std::get<sidecar::Settings>(parsed).bounds.account_window ==
         std::chrono::seconds(4));
   CHECK(std::get<sidecar::Settings>(parsed).admission.patient_calls);
+  CHECK(std::get<sidecar::Settings>(parsed).admission.account_turns);
 
   SECTION("an admission switch is off when left out, and true or false") {
     const std::size_t at = text.find("\"patient_calls\": true");
     REQUIRE(at != std::string::npos);
-    text.replace(at, 21, "");
+    text.replace(at, 22, "");
     CHECK_FALSE(std::get<sidecar::Settings>(sidecar::ParseSettings(text))
                     .admission.patient_calls);
-    text.insert(at, "\"patient_calls\": 1");
+    text.insert(at, "\"patient_calls\": 1,");
     const auto wrong = sidecar::ParseSettings(text);
     REQUIRE(std::holds_alternative<daemon::settings::Problems>(wrong));
     CHECK(std::get<daemon::settings::Problems>(wrong).front().path ==
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -107,7 +107,9 @@
       << LoopbackAddress(base + kTarget) << R"(","service":"s"},"links_port":)"
       << base + kLinks << R"(,"advertised_links_port":)" << base + kLinksProxy
       << R"(,"metrics_port":)" << base + kMetrics << R"(,"store":{"address":")"
-      << LoopbackAddress(base + kStoreProxy) << R"("},"bounds":{}}})";
+      << LoopbackAddress(base + kStoreProxy)
+      << R"("},"admission":{"patient_calls":true,"account_turns":true},)"
+      << R"("bounds":{}}})";
   this->fleet.at(static_cast<std::size_t>(number))->process =
       std::make_unique<harness::Process>(
           std::vector<std::string>{this->options.daemon, "--settings", path},
