--- a/packages/sidecar/include/lycheewell/sidecar/settings.h
+++ b/packages/sidecar/include/lycheewell/sidecar/settings.h
@@ -34,6 +34,17 @@
   bool operator==(const BoundSettings&) const = default;
 };
 
+// Optional parts of the admission control. All are off unless the settings ask
+// for them.
+struct AdmissionSettings {
+  // Calls of running requests wait for as long as their callers do.
+  bool patient_calls = false;
+  // Client accounts share the room of a route by their rates.
+  bool account_turns = false;
+
+  bool operator==(const AdmissionSettings&) const = default;
+};
+
 struct Settings {
   std::string name;
   std::string data_centre;
@@ -54,6 +65,7 @@
   // Approximate time between two announcements of a target.
   core::Duration announcement_period = std::chrono::milliseconds(1500);
   BoundSettings bounds;
+  AdmissionSettings admission;
 
   bool operator==(const Settings&) const = default;
 };
--- a/tests/harness/sidecar_vm.cpp
+++ b/tests/harness/sidecar_vm.cpp
@@ -179,8 +179,10 @@
                                                      : this->base_port + 4)
                       << R"(,"metrics_port":)" << this->base_port + 5
                       << R"(,"store":{"address":")"
-                      << LoopbackAddress(this->store_port) << R"("},"bounds":)"
-                      << this->bounds << "}}";
+                      << LoopbackAddress(this->store_port)
+                      << R"("},"admission":{"patient_calls":true,)"
+                      << R"("account_turns":true},"bounds":)" << this->bounds
+                      << "}}";
   this->process.emplace(
       std::vector<std::string>{std::string(LYCHEEWELL_BIN_DIR) + "/lycheewelld",
                                "--settings", path},
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -117,7 +117,8 @@
                       << R"(,"metrics_port":)" << base + kMetrics
                       << R"(,"store":{"address":")"
                       << LoopbackAddress(base + kStoreProxy)
-                      << R"("},"bounds":{"evacuation":")"
+                      << R"("},"admission":{"patient_calls":true,)"
+                      << R"("account_turns":true},"bounds":{"evacuation":")"
                       << kEvacuationBound.count() << R"(ms"}}})";
   this->fleet.at(static_cast<std::size_t>(number))->process =
       std::make_unique<harness::Process>(
