Cold targets: the share starts before it is first adjusted

Cause: a daemon that learns the rate of a target that is already cold adjusted a share that had not begun (division by zero; corrected in the same tick).

Change: the order in the tick. The process test has a target that answers nothing.

--- a/packages/sidecar/src/requests/cold_watch.cpp
+++ b/packages/sidecar/src/requests/cold_watch.cpp
@@ -152,10 +152,10 @@
   }
   this->LookForSilence(now - due > kTickPeriod);
   this->Check();
+  this->Update("time");
   if (const auto rate = this->cold.per_second(now)) {
     this->share.Update(*rate, this->options.daemon_count(), now);
   }
-  this->Update("time");
   this->timers.After(kTickPeriod,
                      [this, next = now + kTickPeriod] { this->Tick(next); });
 }
--- a/tests/sidecar/cold_target_test.cpp
+++ b/tests/sidecar/cold_target_test.cpp
@@ -120,6 +120,16 @@
     fixture.RunFor(3, 0);
     CHECK(fixture.RunFor(2, 0) > 4 * kAllowed);
 
+    SECTION("and hardly any while it answers nothing") {
+      fixture.target->work_ms = -1;
+      std::this_thread::sleep_for(milliseconds(1000));
+      const auto hanging = steady_clock::now();
+      fixture.RunFor(3, 0);
+      CHECK(fixture.target->MostInASecond(hanging) <= kAllowed);
+      fixture.target->work_ms = 5;
+      fixture.RunFor(3, 0);
+      CHECK(fixture.RunFor(2, 0) > 4 * kAllowed);
+    }
     SECTION("and is asked whether it is cold when it has been silent") {
       std::this_thread::sleep_for(milliseconds(2500));
       fixture.SetHealth(kColdMs);
