--- a/tests/core/cold_start_test.cpp
+++ b/tests/core/cold_start_test.cpp
@@ -309,6 +309,28 @@
   }
 }
 
+// 2 of 61 daemons, or all of them, have more requests than the target takes.
+TEST_CASE("Daemons that send less leave their part of a cold target's rate",
+          "[core][cold]") {
+  constexpr std::size_t kDaemons = 61;
+  const std::size_t senders = GENERATE(2, 61);
+  SenderShare share;
+  Instant now = kStart;
+  share.Start(kRate, kDaemons, now);
+  double credit = 0;
+  for (int ms = 0; ms < 6000; ++ms, now += milliseconds(1)) {
+    credit += static_cast<double>(senders) * share.per_second() / 1000;
+    for (; credit >= 1; credit -= 1) {
+      share.CountOffered();
+    }
+    share.Update(kRate, kDaemons, now);
+  }
+  const double offered = static_cast<double>(senders) * share.per_second();
+  CAPTURE(senders, offered);
+  CHECK(offered >= kRate);
+  CHECK(offered <= 2 * kRate);
+}
+
 // A data centre's targets come back together: 16 targets that are cold for 3
 // s, 61 daemons, 600 requests a second.
 TEST_CASE("Targets that come back together aren't hit by all senders",
