--- a/tests/sidecar/evacuation_test.cpp
+++ b/tests/sidecar/evacuation_test.cpp
@@ -39,8 +39,10 @@
       return this->first.IsReady() && this->second.IsReady() &&
              this->other.IsReady();
     }));
-    this->AnnounceAll();
-    REQUIRE(Eventually([&] { return this->RunsIn(this->first) > 0; }));
+    REQUIRE(Eventually([&] {
+      this->AnnounceAll();
+      return this->RunsIn(this->first) > 0;
+    }));
   }
 
   void AnnounceAll() {
