--- a/tests/harness/sidecar_vm.cpp
+++ b/tests/harness/sidecar_vm.cpp
@@ -136,11 +136,13 @@
       .body = response.body()};
 }
 
-SidecarVm::SidecarVm(int number, int new_store_port, int new_links_proxy_port)
+SidecarVm::SidecarVm(int number, int new_store_port, int new_links_proxy_port,
+                     std::string new_limits)
     : base_port(kFirstSidecarPort + 20 + 20 * number),
       name("vm-" + std::to_string(number)),
       store_port(new_store_port),
       links_proxy_port(new_links_proxy_port),
+      limits(std::move(new_limits)),
       folder((std::filesystem::temp_directory_path() /
               ("lycheewell-sidecar-" + std::to_string(getpid()) + "-" +
                std::to_string(this->base_port)))
@@ -173,7 +175,7 @@
                                      : this->base_port + 4)
       << R"(,"metrics_port":)" << this->base_port + 5
       << R"(,"store":{"address":")" << LoopbackAddress(this->store_port)
-      << R"("},"bounds":{}}})";
+      << R"("},"limits":)" << this->limits << R"(,"bounds":{}}})";
   this->process.emplace(
       std::vector<std::string>{std::string(LYCHEEWELL_BIN_DIR) + "/lycheewelld",
                                "--settings", path},
--- a/tests/harness/sidecar_vm.h
+++ b/tests/harness/sidecar_vm.h
@@ -87,9 +87,10 @@
 class SidecarVm {
  public:
   // `store_port` is where this VM finds the store. Peers dial
-  // `links_proxy_port` if it is not 0.
+  // `links_proxy_port` if it is not 0. `limits` is the JSON object of that name
+  // in the settings.
   explicit SidecarVm(int number, int store_port = kFirstSidecarPort,
-                     int links_proxy_port = 0);
+                     int links_proxy_port = 0, std::string limits = "{}");
   ~SidecarVm();
 
   SidecarVm(const SidecarVm&) = delete;
@@ -125,6 +126,7 @@
  private:
   int store_port;
   int links_proxy_port;
+  std::string limits;
   std::string folder;
 };
 
