Servers: one bound for all that is held for clients

Cause: each connection had a bound for what its client sent ahead, but nothing bounded their sum, answers that nobody reads, or the share of one address.

Change: every server of a sidecar counts what its connections hold (bytes sent ahead, requests, answers that wait to be read) towards sidecar.limits.held_bytes (64 MB). From half of it on nothing is read ahead of an answer; from 15/16 on requests of clients are refused as not run, while readiness, announcements and metrics go on; from 12/16 on, counting what waits unread in the kernel, connections that stand still are cut, the largest product of bytes and time first (LW1105, lycheewell_connections_cut). Connections with unread answers give way to new ones when all places are taken, and one address leaves an eighth of the places to others. The choices are in core/overload (held_memory, connection_admission).

--- a/packages/core/include/lycheewell/core/overload/connection_admission.h
+++ b/packages/core/include/lycheewell/core/overload/connection_admission.h
@@ -32,6 +32,13 @@
 // its own ones it reads no manifest and reaches neither peers nor its target.
 ConnectionBounds ClientConnectionBounds(const DescriptorNeeds& needs);
 
+// Bounds of at most `most` connections.
+ConnectionBounds LimitTo(const ConnectionBounds& bounds, std::size_t most);
+
+// Connections that a server takes from one address without giving up another
+// one of that address, so that a crowd behind it leaves room for others.
+std::size_t AddressShare(const ConnectionBounds& bounds);
+
 // The connections that a server holds.
 struct ConnectionUse {
   std::size_t open = 0;
@@ -39,6 +46,10 @@
   std::optional<Duration> idle_for;
   // How long the oldest request that is not complete has been arriving.
   std::optional<Duration> arriving_for;
+  // How long the oldest answer that is not read has waited for its client.
+  std::optional<Duration> unread_for;
+  // Connections of the new one's address.
+  std::size_t of_address = 0;
 
   bool operator==(const ConnectionUse&) const = default;
 };
@@ -47,6 +58,7 @@
   kTake,
   kReplaceIdle,      // close the oldest idle connection for it
   kReplaceArriving,  // close the one with the oldest incomplete request for it
+  kReplaceUnread,    // close the one with the oldest unread answer for it
   kTakeToRefuse,     // take it and refuse its request
   kWait,             // leave it unaccepted until another one ends
 };
--- a/packages/daemon/include/lycheewell/daemon/events/event_catalogue.h
+++ b/packages/daemon/include/lycheewell/daemon/events/event_catalogue.h
@@ -23,6 +23,7 @@
   kSettingsReloaded = 1102,
   kLoopLate = 1103,
   kAcceptFailed = 1104,
+  kConnectionCut = 1105,
 
   kRequestRouted = 2001,
   kRequestRefused = 2002,
--- a/packages/daemon/src/events/event_catalogue.cpp
+++ b/packages/daemon/src/events/event_catalogue.cpp
@@ -16,6 +16,7 @@
       {Event::kSettingsReloaded, Level::kInfo, "settings-reloaded"},
       {Event::kLoopLate, Level::kWarn, "loop-late"},
       {Event::kAcceptFailed, Level::kWarn, "accept-failed"},
+      {Event::kConnectionCut, Level::kWarn, "connection-cut"},
       {Event::kRequestRouted, Level::kInfo, "request-routed"},
       {Event::kRequestRefused, Level::kInfo, "request-refused"},
       {Event::kRequestRetried, Level::kInfo, "request-retried"},
--- a/packages/sidecar/include/lycheewell/sidecar/http/server.h
+++ b/packages/sidecar/include/lycheewell/sidecar/http/server.h
@@ -6,12 +6,15 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
 
 #include "lycheewell/core/overload/connection_admission.h"
+#include "lycheewell/core/overload/held_memory.h"
 #include "lycheewell/core/types.h"
 #include "lycheewell/io/http/message.h"
 #include "lycheewell/sidecar/http/byte_budget.h"
@@ -89,6 +92,17 @@
   bool operator==(const AcceptFailure&) const = default;
 };
 
+// A connection that was closed because of what it held.
+struct ConnectionCut {
+  std::string_view reason;
+  std::string address;  // of the client
+  std::size_t held_bytes = 0;
+
+  bool operator==(const ConnectionCut&) const = default;
+};
+
+using HeldMemoryPointer = std::shared_ptr<core::overload::HeldMemory>;
+
 struct ServerOptions {
   boost::asio::ip::tcp::endpoint endpoint;
   std::function<void(ExchangePointer)> handler;
@@ -109,6 +123,13 @@
   // Bounds the bodies of all requests that have not been answered; null: no
   // bound.
   ByteBudgetPointer body_budget;
+  // Bounds what connections hold, together with those of all servers that share
+  // it; null: no bound.
+  HeldMemoryPointer held;
+  // Whether the server goes on while clients' requests are refused for lack of
+  // memory.
+  bool is_essential = false;
+  std::function<void(const ConnectionCut&)> on_cut;
 };
 
 class Server {
@@ -142,9 +163,17 @@
   friend class ServerConnection;
   void Accept();
   void AddConnection(boost::asio::ip::tcp::socket socket);
-  core::overload::ConnectionDecision Decide() const;
-  // Closes the connection that has waited longest and has no unread input.
-  static bool CloseOldest(const WaitingConnections& waiting);
+  core::overload::ConnectionBounds Bounds() const;
+  core::overload::ConnectionDecision Decide(std::size_t of_address) const;
+  std::size_t CountOf(const boost::asio::ip::address& address) const;
+  // Closes one of the connections that have waited longest: of the address with
+  // the most, and without unread input unless its answer is not read.
+  bool CloseOldest(const WaitingConnections& waiting,
+                   const boost::asio::ip::address& newcomer);
+  // Closes connections if what is held for clients comes near its limit.
+  void CutConnections();
+  void ScheduleInspection();
+  void ReportCut(const ServerConnection& connection, std::string_view reason);
   void ReportAcceptFailure(const std::string& detail);
   // Takes the connections that wait in the kernel's queue.
   void AcceptQueued();
@@ -155,6 +184,9 @@
   std::set<std::shared_ptr<ServerConnection>> connections;
   WaitingConnections idle;      // without a request
   WaitingConnections arriving;  // with an incomplete request
+  WaitingConnections unread;    // with an answer that is being sent
+  std::map<boost::asio::ip::address, std::size_t> addresses;  // connections of
+  TimerQueue::Id inspection = 0;
   bool draining = false;
   // What a connection has just read; all of them use it in turn.
   std::array<char, kReadSize> input{};
--- a/packages/sidecar/include/lycheewell/sidecar/http/waiting_connections.h
+++ b/packages/sidecar/include/lycheewell/sidecar/http/waiting_connections.h
@@ -37,19 +37,15 @@
 
   std::size_t size() const { return this->since_when.size(); }
 
-  // The first one, of the `limit` that have waited longest, that `suits`; null
-  // if there is none.
-  template <typename Predicate>
-  ServerConnection* FindOldest(std::size_t limit, Predicate suits) const {
+  // Visits the `limit` that have waited longest, the oldest one first.
+  template <typename Visitor>
+  void VisitOldest(std::size_t limit, Visitor visit) const {
     for (const auto& [since, connection] : this->by_age) {
       if (limit-- == 0) {
         break;
       }
-      if (suits(*connection)) {
-        return connection;
-      }
+      visit(*connection);
     }
-    return nullptr;
   }
 
   // How long the oldest one has waited.
--- a/packages/sidecar/include/lycheewell/sidecar/settings.h
+++ b/packages/sidecar/include/lycheewell/sidecar/settings.h
@@ -2,6 +2,7 @@
 #ifndef LYCHEEWELL_SIDECAR_SETTINGS_H_
 #define LYCHEEWELL_SIDECAR_SETTINGS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -30,6 +31,15 @@
   bool operator==(const BoundSettings&) const = default;
 };
 
+// Limits of what clients can make the daemon hold.
+struct LimitSettings {
+  // Memory for requests and answers of clients, of all servers together. The
+  // default suits a VM of 160 MB.
+  std::size_t held_bytes = 64ULL * 1024 * 1024;
+
+  bool operator==(const LimitSettings&) const = default;
+};
+
 struct Settings {
   std::string name;
   std::string data_centre;
@@ -46,6 +56,7 @@
   std::string store_address;
   // Approximate time between two announcements of a target.
   core::Duration announcement_period = std::chrono::milliseconds(1500);
+  LimitSettings limits;
   BoundSettings bounds;
 
   bool operator==(const Settings&) const = default;
--- a/packages/sidecar/src/http/server.cpp
+++ b/packages/sidecar/src/http/server.cpp
@@ -29,7 +29,7 @@
 constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(20);
 
 // Waiting connections that are looked at to find one to close.
-constexpr std::size_t kMaxInspected = 16;
+constexpr std::size_t kMaxInspected = 64;
 
 constexpr std::string_view kTooManyConnections = "too many connections";
 
@@ -50,8 +50,20 @@
 // read for this long: closing with unread input would reset it.
 constexpr auto kLingerTime = std::chrono::milliseconds(500);
 
-// Retry-After of requests whose body does not fit into memory. Bodies are held
-// until their request is answered.
+// Time between two looks at the connections whose answers are not read, or that
+// hold too much.
+constexpr auto kInspectionPeriod = std::chrono::milliseconds(250);
+
+// What a request takes beside its own bytes, until it is answered.
+constexpr std::size_t kRequestBytes = 4 * 1024;
+
+// A request's bytes are held here and on their way to the target.
+constexpr std::size_t kCopiesOfRequest = 2;
+
+constexpr std::string_view kNoMemory = "no memory left for requests";
+
+// Retry-After of requests that do not fit into memory. They are held until they
+// are answered.
 constexpr std::string_view kNoMemoryRetryAfter = "Retry-After: 0.500\r\n";
 
 std::string StatusLine(unsigned status) {
@@ -71,9 +83,12 @@
     SetSocketOptions(this->socket);
     boost::system::error_code ignored;  // reads fail then, and it is closed
     this->socket.non_blocking(true, ignored);
+    this->peer = this->socket.remote_endpoint(ignored).address();
   }
 
   void Start() {
+    ++this->server.addresses[this->peer];
+    this->CountHeld();
     this->server.idle.Add(this, Now());
     this->StartTimer(this->Limits().idle_timeout + kIdleTimeoutMargin);
     this->Read();
@@ -91,6 +106,35 @@
     return this->socket.available(error) > 0;
   }
 
+  const asio::ip::address& address() const { return this->peer; }
+
+  std::size_t held_bytes() const { return this->held; }
+
+  std::size_t unread_bytes() const { return this->unread_input; }
+
+  // Time since the client has sent or accepted a byte, if it has to.
+  std::optional<core::Duration> standing_still(core::Instant now) const {
+    if (this->writing) {
+      return now - this->sent_at;
+    }
+    return this->parser ? std::optional(now - this->read_at) : std::nullopt;
+  }
+
+  // Counts the input that waits in the kernel while the connection is not read.
+  // Returns whether it is not.
+  bool CountUnreadInput() {
+    boost::system::error_code error;
+    this->unread_input = this->reading ? 0 : this->socket.available(error);
+    return !this->reading;
+  }
+
+  // Closes the connection without a wait for what the client has not read.
+  void Cut() {
+    boost::system::error_code ignored;
+    this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    this->Close();
+  }
+
   // Ends an idle connection; a request that has arrived by now is still
   // served.
   void CloseWhenIdle() {
@@ -128,6 +172,12 @@
         on_disconnect();
       }
     }
+    this->outgoing.reset();
+    this->CountHeld();
+    const auto counted = this->server.addresses.find(this->peer);
+    if (counted != this->server.addresses.end() && --counted->second == 0) {
+      this->server.addresses.erase(counted);
+    }
     this->server.connections.erase(this->shared_from_this());
   }
 
@@ -152,13 +202,14 @@
     if (!is_head) {
       *message += answer.body;
     }
+    this->outgoing = std::move(message);
+    this->sent_bytes = 0;
+    this->sent_at = Now();
     this->writing = true;
+    this->server.unread.Add(this, this->sent_at);
     this->StartTimer(kWriteTimeout);
-    asio::async_write(this->socket, asio::buffer(*message),
-                      [self = this->shared_from_this(), message](
-                          const boost::system::error_code& error, std::size_t) {
-                        self->AfterWrite(error);
-                      });
+    this->Write();
+    this->CountHeld();
   }
 
  private:
@@ -180,6 +231,61 @@
   void StopWaiting() {
     this->server.idle.Remove(this);
     this->server.arriving.Remove(this);
+    this->server.unread.Remove(this);
+  }
+
+  // Adjusts what this connection counts towards the server's bound.
+  void CountHeld() {
+    using core::overload::kConnectionBytes;
+    std::size_t bytes = 0;
+    if (!this->closed) {
+      bytes = kConnectionBytes + this->buffer.capacity();
+      bytes += this->outgoing ? this->outgoing->capacity() : 0;
+      bytes += this->parser ? this->request_bytes : 0;
+      bytes += this->exchange
+                   ? kRequestBytes + kCopiesOfRequest * this->request_bytes
+                   : 0;
+    }
+    const auto& memory = this->server.options.held;
+    if (!memory) {
+      return;
+    }
+    memory->Change(this->held, bytes);
+    this->held = bytes;
+    if (memory->is_short()) {
+      this->server.ScheduleInspection();
+    }
+  }
+
+  bool MayTakeRequest() const {
+    return !this->server.options.held ||
+           this->server.options.held->may_take_request(
+               this->server.options.is_essential);
+  }
+
+  // Whether to read on. Bytes that are sent ahead of an answer are bounded.
+  bool MayRead() const {
+    if (this->lingering || (!this->exchange && !this->writing)) {
+      return true;
+    }
+    return this->buffer.size() < kMaxPipelinedBytes &&
+           (!this->server.options.held ||
+            this->server.options.held->may_read_ahead());
+  }
+
+  void Write() {
+    this->socket.async_write_some(
+        asio::buffer(*this->outgoing) + this->sent_bytes,
+        [self = this->shared_from_this(), message = this->outgoing](
+            const boost::system::error_code& error, std::size_t size) {
+          self->sent_bytes += size;
+          if (!error && self->sent_bytes < message->size() && !self->closed) {
+            self->sent_at = Now();
+            self->Write();
+            return;
+          }
+          self->AfterWrite(error);
+        });
   }
 
   void StartTimer(core::Duration limit) {
@@ -202,6 +308,9 @@
     if (this->closed) {
       return;
     }
+    this->outgoing.reset();
+    this->unread_input = 0;
+    this->server.unread.Remove(this);
     if (error) {
       this->Close();
       return;
@@ -218,6 +327,7 @@
     this->StartTimer(this->Limits().idle_timeout + kIdleTimeoutMargin);
     this->Consume();
     this->ReadOn();
+    this->CountHeld();
   }
 
   // Closes the connection after the client has had time to read the answer.
@@ -226,11 +336,11 @@
     this->socket.shutdown(tcp::socket::shutdown_send, ignored);
     this->lingering = true;
     this->buffer.consume(this->buffer.size());
+    this->buffer.shrink_to_fit();
     this->server.idle.Add(this, Now());
     this->StartTimer(kLingerTime);
-    if (!this->reading) {
-      this->Read();
-    }
+    this->ReadOn();
+    this->CountHeld();
   }
 
   // Only waits: no read into `buffer` may be pending while it is consumed.
@@ -252,6 +362,13 @@
   }
 
   void TakeInput() {
+    if (!this->MayRead()) {
+      if (this->HasClientLeft()) {
+        this->Close();
+      }
+      this->ReadOn();
+      return;
+    }
     auto& input = this->server.input;
     boost::system::error_code error;
     const std::size_t size = this->socket.read_some(asio::buffer(input), error);
@@ -267,13 +384,17 @@
       this->Consume();
     }
     this->ReadOn();
+    this->CountHeld();
   }
 
-  // Reads on unless the client has sent enough requests ahead.
   void ReadOn() {
-    if (!this->closed && !this->reading &&
-        this->buffer.size() < kMaxPipelinedBytes) {
+    if (this->closed || this->reading) {
+      return;
+    }
+    if (this->MayRead()) {
       this->Read();
+    } else {
+      this->server.ScheduleInspection();
     }
   }
 
@@ -283,8 +404,13 @@
       return;
     }
     if (!this->parser) {
+      if (!this->MayTakeRequest()) {
+        this->Reject(503, kNoMemory, std::string(kNoMemoryRetryAfter));
+        return;
+      }
       const ServerLimits limits = this->Limits();
       this->expecting_request = false;
+      this->request_bytes = 0;
       this->parser.emplace();
       this->parser->eager(true);
       this->parser->header_limit(limits.header_bytes);
@@ -300,6 +426,7 @@
     while (this->buffer.size() > 0 && !this->parser->is_done()) {
       const std::size_t used = this->parser->put(this->buffer.data(), error);
       this->buffer.consume(used);
+      this->request_bytes += used;
       if (error || used == 0) {
         break;
       }
@@ -308,6 +435,9 @@
       this->RejectMalformed(error);
       return;
     }
+    if (this->buffer.size() == 0) {
+      this->buffer.shrink_to_fit();
+    }
     if (!this->body_allowance->Grow(this->parser->get().body().size())) {
       this->Reject(503, "no memory for the body",
                    std::string(kNoMemoryRetryAfter));
@@ -394,6 +524,13 @@
   core::Instant read_at;                          // of the last bytes
   core::Instant began_at;                         // of the request being read
   ExchangePointer exchange;
+  std::shared_ptr<std::string> outgoing;  // the answer that is being sent
+  std::size_t sent_bytes = 0;             // of it
+  core::Instant sent_at;                  // when the client accepted the last
+  std::size_t request_bytes = 0;  // read, of the request that is not answered
+  std::size_t unread_input = 0;   // in the kernel
+  std::size_t held = 0;           // counted towards the server's bound
+  asio::ip::address peer;
   TimerQueue::Id timer = 0;
   bool reading = false;
   bool writing = false;
@@ -441,7 +578,8 @@
 
 void Server::Accept() {
   using core::overload::ConnectionDecision;
-  if (this->Decide() == ConnectionDecision::kWait) {
+  constexpr std::size_t kNotKnown = 0;
+  if (this->Decide(kNotKnown) == ConnectionDecision::kWait) {
     this->ReportAcceptFailure(std::string(kTooManyConnections));
     this->timers.After(kAcceptRetryDelay, [this] { this->Accept(); });
     return;
@@ -462,28 +600,58 @@
       });
 }
 
-core::overload::ConnectionDecision Server::Decide() const {
+core::overload::ConnectionBounds Server::Bounds() const {
+  const core::overload::ConnectionBounds bounds =
+      this->options.connection_bounds();
+  return this->options.held
+             ? core::overload::LimitTo(bounds,
+                                       this->options.held->most_connections())
+             : bounds;
+}
+
+core::overload::ConnectionDecision Server::Decide(
+    std::size_t of_address) const {
   using core::overload::ConnectionDecision;
   if (!this->options.connection_bounds) {
     return ConnectionDecision::kTake;
   }
   const core::Instant now = Now();
   return core::overload::DecideConnection(
-      this->options.connection_bounds(),
-      {.open = this->connections.size(),
-       .idle_for = this->idle.longest_wait(now),
-       .arriving_for = this->arriving.longest_wait(now)});
+      this->Bounds(), {.open = this->connections.size(),
+                       .idle_for = this->idle.longest_wait(now),
+                       .arriving_for = this->arriving.longest_wait(now),
+                       .unread_for = this->unread.longest_wait(now),
+                       .of_address = of_address});
 }
 
-bool Server::CloseOldest(const WaitingConnections& waiting) {
-  ServerConnection* const oldest =
-      waiting.FindOldest(kMaxInspected, [](const ServerConnection& connection) {
-        return !connection.has_unread_input();
-      });
-  if (oldest == nullptr) {
+std::size_t Server::CountOf(const asio::ip::address& address) const {
+  const auto found = this->addresses.find(address);
+  return found == this->addresses.end() ? 0 : found->second;
+}
+
+bool Server::CloseOldest(const WaitingConnections& waiting,
+                         const asio::ip::address& newcomer) {
+  const bool is_unread = &waiting == &this->unread;
+  const bool has_room = this->connections.size() < this->Bounds().usual;
+  ServerConnection* chosen = nullptr;
+  waiting.VisitOldest(kMaxInspected, [&](ServerConnection& connection) {
+    // With room for others, only the newcomer's address has too many.
+    const bool suits = (is_unread || !connection.has_unread_input()) &&
+                       (!has_room || connection.address() == newcomer);
+    if (suits && (chosen == nullptr || this->CountOf(connection.address()) >
+                                           this->CountOf(chosen->address()))) {
+      chosen = &connection;
+    }
+  });
+  if (chosen == nullptr) {
     return false;
   }
-  oldest->Close();
+  if (is_unread) {
+    this->ReportCut(*chosen, "its answer was not read");
+    chosen->Cut();
+  } else {
+    chosen->Close();
+  }
   return true;
 }
 
@@ -491,18 +659,22 @@
   using core::overload::ConnectionDecision;
   const auto connection =
       std::make_shared<ServerConnection>(*this, std::move(socket));
-  switch (this->Decide()) {
+  const auto replace = [&](const WaitingConnections& waiting) {
+    if (!this->CloseOldest(waiting, connection->address())) {
+      connection->RefuseRequest();
+    }
+  };
+  switch (this->Decide(this->CountOf(connection->address()))) {
     case ConnectionDecision::kTake:
       break;
     case ConnectionDecision::kReplaceIdle:
-      if (!CloseOldest(this->idle)) {
-        connection->RefuseRequest();
-      }
+      replace(this->idle);
       break;
     case ConnectionDecision::kReplaceArriving:
-      if (!CloseOldest(this->arriving)) {
-        connection->RefuseRequest();
-      }
+      replace(this->arriving);
+      break;
+    case ConnectionDecision::kReplaceUnread:
+      replace(this->unread);
       break;
     case ConnectionDecision::kTakeToRefuse:
     case ConnectionDecision::kWait:
@@ -513,6 +685,51 @@
   connection->Start();
 }
 
+void Server::ScheduleInspection() {
+  if (this->inspection != 0 || !this->options.held) {
+    return;
+  }
+  this->inspection = this->timers.After(kInspectionPeriod, [this] {
+    this->inspection = 0;
+    bool is_any_paused = false;
+    this->unread.VisitOldest(
+        this->unread.size(), [&](ServerConnection& connection) {
+          is_any_paused = connection.CountUnreadInput() || is_any_paused;
+        });
+    this->CutConnections();
+    if (is_any_paused || this->options.held->is_short()) {
+      this->ScheduleInspection();
+    }
+  });
+}
+
+void Server::CutConnections() {
+  const core::Instant now = Now();
+  std::vector<std::shared_ptr<ServerConnection>> waiting;
+  std::vector<core::overload::HeldConnection> held;
+  for (const auto& connection : this->connections) {
+    if (const auto still = connection->standing_still(now)) {
+      waiting.push_back(connection);
+      held.push_back({.bytes = connection->held_bytes(),
+                      .unread_bytes = connection->unread_bytes(),
+                      .standing_still = *still});
+    }
+  }
+  for (const std::size_t index : this->options.held->ChooseCuts(held)) {
+    this->ReportCut(*waiting[index], "held too much");
+    waiting[index]->Cut();
+  }
+}
+
+void Server::ReportCut(const ServerConnection& connection,
+                       std::string_view reason) {
+  if (this->options.on_cut) {
+    this->options.on_cut({.reason = reason,
+                          .address = connection.address().to_string(),
+                          .held_bytes = connection.held_bytes()});
+  }
+}
+
 void Server::ReportAcceptFailure(const std::string& detail) {
   if (this->options.on_accept_failure) {
     this->options.on_accept_failure(
--- a/packages/sidecar/src/settings.cpp
+++ b/packages/sidecar/src/settings.cpp
@@ -24,6 +24,9 @@
 // Shorter windows cannot be divided into slices of whole milliseconds.
 constexpr core::Duration kMinAccountWindow = std::chrono::milliseconds(100);
 
+// With less, single requests inside a manifest's usual limits do not fit.
+constexpr std::size_t kMinHeldBytes = 1024 * 1024;
+
 json::value ParseText(std::string_view text, boost::system::error_code& error) {
   json::parse_options options;
   options.allow_comments = true;
@@ -196,6 +199,9 @@
       .store_address = reader.Address({"store", "address"}),
       .announcement_period = reader.Time({"target", "announcement_period"},
                                          Settings().announcement_period),
+      .limits = {.held_bytes = static_cast<std::size_t>(reader.Number(
+                     {"limits", "held_bytes"},
+                     static_cast<double>(LimitSettings().held_bytes)))},
       .bounds = {
           .manifest_adoption = reader.Time({"bounds", "manifest_adoption"},
                                            defaults.manifest_adoption),
@@ -211,6 +217,9 @@
               reader.Time({"bounds", "repeat_window"}, defaults.repeat_window),
           .account_window = reader.Time({"bounds", "account_window"},
                                         defaults.account_window)}};
+  if (settings.limits.held_bytes < kMinHeldBytes) {
+    problems.push_back({"sidecar.limits.held_bytes", "is less than 1048576"});
+  }
   if (settings.bounds.manifest_adoption < kMinManifestBound) {
     problems.push_back(
         {"sidecar.bounds.manifest_adoption", "is shorter than 100ms"});
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -224,7 +224,23 @@
                   this->OnAcceptFailure(address, failure);
                 },
             .connection_bounds = [] { return kServiceConnections; },
-            .body_budget = this->request_bodies};
+            .body_budget = this->request_bodies,
+            .held = this->held,
+            .is_essential = true,
+            .on_cut =
+                [this, address](const http::ConnectionCut& cut) {
+                  this->OnCut(address, cut);
+                }};
+  }
+
+  void OnCut(const std::string& server, const http::ConnectionCut& cut) {
+    this->counters.Count("connections_cut", cut.reason);
+    this->log.Write(Event::kConnectionCut,
+                    {{"server", server},
+                     {"reason", cut.reason},
+                     {"address", cut.address},
+                     {"held_bytes", std::to_string(cut.held_bytes)},
+                     {"all_bytes", std::to_string(this->held->used_bytes())}});
   }
 
   void OnAcceptFailure(const std::string& server,
@@ -249,6 +265,7 @@
            .peers = this->mesh.daemon_count() - 1,
            .target_slots = static_cast<std::size_t>(this->gate.slot_count())});
     };
+    server.is_essential = false;
     server.is_behind = [this] { return this->loop_monitor.is_behind(); };
     server.time_limit = [this](const io::http::Request& head) {
       return this->front.TimeLimitOf(head);
@@ -836,6 +853,8 @@
          << this->client_server.connection_count()
          << "\nlycheewell_client_connections_idle "
          << this->client_server.idle_connection_count()
+         << "\nlycheewell_held_bytes " << this->held->used_bytes()
+         << "\nlycheewell_held_bytes_limit " << this->held->limit_bytes()
          << "\nlycheewell_target_running " << load.running()
          << "\nlycheewell_target_waiting " << load.waiting()
          << "\nlycheewell_target_mean_work_seconds "
@@ -940,7 +959,11 @@
   std::size_t descriptor_limit = DescriptorLimit();
   // Bodies of the requests that this daemon has read and not yet answered.
   http::ByteBudgetPointer request_bodies =
-      std::make_shared<http::ByteBudget>(kRequestBodyBytes);
+      std::make_shared<http::ByteBudget>(std::min(
+          kRequestBodyBytes, this->options.settings.limits.held_bytes / 4));
+  // All that the servers hold for their clients.
+  http::HeldMemoryPointer held = std::make_shared<core::overload::HeldMemory>(
+      this->options.settings.limits.held_bytes);
   asio::io_context context;
   TimerQueue timers;
   DecisionLog log;
--- a/tests/core/connection_admission_test.cpp
+++ b/tests/core/connection_admission_test.cpp
@@ -73,3 +73,35 @@
     }
   }
 }
+
+// Baseline: a crowd takes every place, and others wait until it leaves.
+TEST_CASE("A crowd behind one address leaves places to others",
+          "[connections]") {
+  const ConnectionBounds bounds{.usual = 80, .most = 90};
+  ConnectionUse use{.open = 75, .of_address = 70};
+  REQUIRE(AddressShare(bounds) == 70);
+
+  SECTION("its next connection is refused, or replaces one of its own") {
+    CHECK(DecideConnection(bounds, use) == ConnectionDecision::kTakeToRefuse);
+    use.idle_for = seconds(2);
+    CHECK(DecideConnection(bounds, use) == ConnectionDecision::kReplaceIdle);
+  }
+  SECTION("another address is taken") {
+    use.of_address = 5;
+    CHECK(DecideConnection(bounds, use) == ConnectionDecision::kTake);
+  }
+  SECTION("answers that nobody reads give way, but not at once") {
+    use.open = 90;
+    use.of_address = 1;
+    use.unread_for = milliseconds(900);
+    CHECK(DecideConnection(bounds, use) == ConnectionDecision::kWait);
+    use.unread_for = seconds(1);
+    CHECK(DecideConnection(bounds, use) == ConnectionDecision::kReplaceUnread);
+  }
+}
+
+TEST_CASE("Memory bounds connections, too", "[connections]") {
+  const ConnectionBounds bounds{.usual = 700, .most = 800};
+  CHECK(LimitTo(bounds, 4000) == bounds);
+  CHECK(LimitTo(bounds, 80) == ConnectionBounds{.usual = 70, .most = 80});
+}
