Tests: statuses that are none (failing)

A target in trouble answers with status 000. The same statuses 099, 600, 999, no digits and HTTP/0.9 are checked, too; 1.0 and a 204 with a body are answers that end the connection's use.

--- a/tests/sidecar/client_connection_test.cpp
+++ b/tests/sidecar/client_connection_test.cpp
@@ -285,3 +285,56 @@
     CHECK(fixture.peer.sent <= kKernelBuffers);
   }
 }
+
+// Guards against a client that gets a status that is none, and against bytes of
+// such an answer that are taken for the next one.
+TEST_CASE("A status that is none is a failure of the target",
+          "[sidecar][connection]") {
+  Fixture fixture;
+  fixture.Send("r1");
+  REQUIRE(fixture.RunUntil([&] { return !fixture.peer.received.empty(); }));
+  const auto answer_with = [&](const std::string& start_line) {
+    fixture.peer.Write(start_line +
+                       "\r\nRequest-Id: r1\r\nContent-Length: 2\r\n\r\nab");
+    fixture.RunUntil([&] { return fixture.outcome.has_value(); },
+                     milliseconds(500));
+    return fixture.outcome.has_value();
+  };
+
+  SECTION("no status, one that is none, or another protocol") {
+    const auto* start_line = GENERATE(
+        "HTTP/1.1 000 Trouble", "HTTP/1.1 099 Trouble", "HTTP/1.1 600 Trouble",
+        "HTTP/1.1 999 Trouble", "HTTP/1.1 abc Trouble", "HTTP/0.9 200 OK");
+    CAPTURE(start_line);
+    REQUIRE(answer_with(start_line));
+    REQUIRE(fixture.has_failed());
+    CHECK(std::get<http::ExchangeProblem>(*fixture.outcome).failure ==
+          http::ExchangeFailure::kBroken);
+    CHECK_FALSE(fixture.connection->is_usable());
+  }
+  SECTION("a change of protocol that nobody asked for") {
+    fixture.peer.Write("HTTP/1.1 101 Switching Protocols\r\n\r\n");
+    fixture.peer.Write(AnswerTo("r1", "behind"));
+    REQUIRE(fixture.RunUntil([&] { return fixture.outcome.has_value(); }));
+    CHECK(fixture.has_failed());
+    CHECK_FALSE(fixture.connection->is_usable());
+  }
+  SECTION("interim answers are passed over") {
+    fixture.peer.Write("HTTP/1.1 100 Continue\r\n\r\n");
+    fixture.peer.Write("HTTP/1.1 199 Wait\r\n\r\n" + AnswerTo("r1", "final"));
+    REQUIRE(fixture.RunUntil([&] { return fixture.outcome.has_value(); }));
+    CHECK(fixture.Body() == "final");
+    CHECK(fixture.connection->is_usable());
+  }
+  SECTION("an older version is an answer, and ends the connection's use") {
+    REQUIRE(answer_with("HTTP/1.0 200 OK"));
+    CHECK(fixture.Body() == "ab");
+    CHECK_FALSE(fixture.connection->is_usable());
+  }
+  SECTION("the body of an answer that has none is not the next answer") {
+    REQUIRE(answer_with("HTTP/1.1 204 No Content"));
+    CHECK_FALSE(fixture.has_failed());
+    CHECK(fixture.Body().empty());
+    CHECK_FALSE(fixture.connection->is_usable());
+  }
+}
