Statuses that are none are failures of the target; own path: bounded memory

Cause: a target in trouble answers with status 000. The own path's client handed it on; a sidecar's connection took it for an interim answer.

Change: a status below 100 or above 599, and a 101, ends the exchange as broken and its connection; other interim answers are passed over, 16 at most. The own path's servers share limits.held_bytes: connections (with a share for others than the most frequent address), bodies and answers count towards it, bodies that do not fit are refused as not run, operators have a part of their own; a connection's buffer is bounded. Tests of requests sent ahead: order, own answers, nothing runs behind an answer that closes, a drain between two of them.

--- a/packages/daemon/include/lycheewell/daemon/metrics/metrics.h
+++ b/packages/daemon/include/lycheewell/daemon/metrics/metrics.h
@@ -30,6 +30,7 @@
   kLoansRequested,
   kTokensLent,
   kBadHttpRequests,
+  kConnectionsCut,
   kBadPeerMessages,
   kUnreadableRecords,
   kLogErrors,
--- a/packages/daemon/include/lycheewell/daemon/settings/settings.h
+++ b/packages/daemon/include/lycheewell/daemon/settings/settings.h
@@ -37,6 +37,8 @@
 struct LimitSettings {
   std::uint64_t body_bytes = 1024 * 1024;
   std::uint64_t header_bytes = 16 * 1024;
+  // Memory for connections, requests and answers of callers and targets.
+  std::uint64_t held_bytes = 64 * 1024 * 1024;
   std::chrono::milliseconds default_timeout{10'000};
   std::chrono::milliseconds largest_timeout{60'000};
 
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -31,6 +31,9 @@
 
 namespace {
 
+// Memory for the connections and requests of operators.
+constexpr std::size_t kOperatorsHeldBytes = 8 * 1024 * 1024;
+
 constexpr auto kFastTick = std::chrono::milliseconds(10);
 constexpr auto kSlowTick = std::chrono::milliseconds(200);
 constexpr auto kDrainPoll = std::chrono::milliseconds(20);
@@ -196,11 +199,20 @@
       this->metrics.Count(metrics::Counter::kBadHttpRequests);
       this->events.Write(events::Event::kBadHttpRequest, {{"reason", reason}});
     };
+    const auto on_closed = [this](const http::ClosedConnection& closed) {
+      this->metrics.Count(metrics::Counter::kConnectionsCut);
+      this->events.Write(
+          events::Event::kConnectionCut,
+          {{"reason", closed.reason}, {"address", closed.address}});
+    };
     http::ServerOptions options{
         .address = this->settings.callers_address,
         .body_limit = this->settings.limits.body_bytes,
         .header_limit = this->settings.limits.header_bytes,
-        .on_bad_request = on_bad_request};
+        .on_bad_request = on_bad_request,
+        .held = std::make_shared<http::SharedHeldMemory>(
+            this->settings.limits.held_bytes),
+        .on_closed = on_closed};
     this->callers_server = std::make_unique<http::Server>(
         this->context, options,
         [this](http::Request request,
@@ -217,6 +229,9 @@
                                            std::move(cancellation));
         });
     options.address = this->settings.operators_address;
+    // Operators get through while callers take all of their part.
+    options.held =
+        std::make_shared<http::SharedHeldMemory>(kOperatorsHeldBytes);
     this->operators_server = std::make_unique<http::Server>(
         this->context, options,
         [this](http::Request request,
--- a/packages/daemon/src/metrics/metrics.cpp
+++ b/packages/daemon/src/metrics/metrics.cpp
@@ -9,17 +9,17 @@
 
 constexpr std::array<std::string_view,
                      static_cast<std::size_t>(Counter::kCount)>
-    kNames = {"requests_total",           "answers_ran_total",
-              "answers_not_run_total",    "answers_may_have_run_total",
-              "refused_key_total",        "refused_rate_total",
-              "refused_shed_total",       "refused_quarantine_total",
-              "replayed_total",           "retries_total",
-              "forwards_total",           "dispatches_total",
-              "loans_requested_total",    "tokens_lent_total",
-              "bad_http_requests_total",  "bad_peer_messages_total",
-              "unreadable_records_total", "log_errors_total",
-              "target_crashes_total",     "contexts_refused_total",
-              "peer_messages_total"};
+    kNames = {"requests_total",          "answers_ran_total",
+              "answers_not_run_total",   "answers_may_have_run_total",
+              "refused_key_total",       "refused_rate_total",
+              "refused_shed_total",      "refused_quarantine_total",
+              "replayed_total",          "retries_total",
+              "forwards_total",          "dispatches_total",
+              "loans_requested_total",   "tokens_lent_total",
+              "bad_http_requests_total", "connections_cut_total",
+              "bad_peer_messages_total", "unreadable_records_total",
+              "log_errors_total",        "target_crashes_total",
+              "contexts_refused_total",  "peer_messages_total"};
 
 constexpr double kMedian = 0.5;
 constexpr double kTail = 0.99;
--- a/packages/daemon/src/settings/settings.cpp
+++ b/packages/daemon/src/settings/settings.cpp
@@ -213,6 +213,8 @@
   constexpr std::uint64_t kLeastBytes = 1024;
   constexpr std::uint64_t kMostBodyBytes = 64 * 1024 * 1024;
   constexpr std::uint64_t kMostHeaderBytes = 1024 * 1024;
+  constexpr std::uint64_t kLeastHeldBytes = 1024 * 1024;
+  constexpr std::uint64_t kMostHeldBytes = 1024ULL * 1024 * 1024 * 1024;
   constexpr std::uint64_t kMostTimeoutMs = 600'000;
   const LimitSettings defaults;
   ObjectReader reader(root.Object("limits", false), "limits",
@@ -222,6 +224,8 @@
                                   kLeastBytes, kMostBodyBytes),
       .header_bytes = reader.Number("header_bytes", defaults.header_bytes,
                                     kLeastBytes, kMostHeaderBytes),
+      .held_bytes = reader.Number("held_bytes", defaults.held_bytes,
+                                  kLeastHeldBytes, kMostHeldBytes),
       .default_timeout = reader.Milliseconds(
           "default_timeout_ms", defaults.default_timeout, 1, kMostTimeoutMs),
       .largest_timeout = reader.Milliseconds(
--- a/packages/io/include/lycheewell/io/http/server.h
+++ b/packages/io/include/lycheewell/io/http/server.h
@@ -9,9 +9,11 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 
+#include "lycheewell/core/overload/held_memory.h"
 #include "lycheewell/io/async/cancellation.h"
 #include "lycheewell/io/http/message.h"
 
@@ -22,6 +24,37 @@
 using Handler = std::function<boost::asio::awaitable<std::optional<Response>>(
     Request request, async::CancellationPointer cancellation)>;
 
+// What the connections of several servers hold together. Safe to use from any
+// thread.
+class SharedHeldMemory {
+ public:
+  explicit SharedHeldMemory(std::size_t limit) : memory(limit) {}
+
+  // Commands.
+
+  // Counts `bytes`; returns false, and counts none, when they do not fit.
+  bool Take(std::size_t bytes);
+  void Add(std::size_t bytes);
+  void Remove(std::size_t bytes);
+
+  // Queries.
+
+  std::size_t most_connections() const;
+  std::size_t used_bytes() const;
+
+ private:
+  mutable std::mutex mutex;
+  core::overload::HeldMemory memory;
+};
+
+// A connection that was closed to leave room for others.
+struct ClosedConnection {
+  std::string reason;
+  std::string address;  // of the caller
+
+  bool operator==(const ClosedConnection&) const = default;
+};
+
 struct ServerOptions {
   std::string address;  // "host:port"; port 0 picks a free one
   std::size_t body_limit = 1024 * 1024;
@@ -33,6 +66,10 @@
   std::chrono::steady_clock::duration idle_timeout = std::chrono::seconds(75);
   // Told of each request that could not be parsed, with the reason.
   std::function<void(std::string_view reason)> on_bad_request;
+  // Bounds connections, bodies and answers, together with those of all servers
+  // that share it; null: no bound.
+  std::shared_ptr<SharedHeldMemory> held;
+  std::function<void(const ClosedConnection&)> on_closed;
 };
 
 class Server {
--- a/packages/io/src/http/client.cpp
+++ b/packages/io/src/http/client.cpp
@@ -12,6 +12,7 @@
 #include <boost/beast/core.hpp>
 
 #include "lycheewell/io/http/address.h"
+#include "lycheewell/io/http/status.h"
 
 namespace lycheewell::io::http {
 namespace asio = boost::asio;
@@ -22,6 +23,7 @@
 
 constexpr auto kTokens = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t kMostIdleConnections = 256;
+constexpr int kMostInterimAnswers = 16;
 constexpr auto kConnectTimeout = std::chrono::milliseconds(500);
 
 using Strand = asio::strand<asio::io_context::executor_type>;
@@ -116,21 +118,39 @@
   if (write_error) {
     co_return MakeError(*connection, write_error);
   }
-  beast::http::response_parser<beast::http::string_body> parser;
-  parser.body_limit(body_limit);
-  parser.skip(request.method() == Verb::head);
-  auto [read_error, read] = co_await beast::http::async_read(
-      stream, connection->buffer, parser, kTokens);
-  if (read_error) {
-    co_return MakeError(*connection, read_error);
-  }
-  // A body that ends with the connection has no length to check it against.
-  if (parser.need_eof()) {
-    co_return ExchangeError{ExchangeErrorKind::kBroken,
-                            "the answer has no length"};
+  for (int interim = 0; interim <= kMostInterimAnswers; ++interim) {
+    beast::http::response_parser<beast::http::string_body> parser;
+    parser.body_limit(body_limit);
+    parser.skip(request.method() == Verb::head);
+    auto [head_error, head_size] = co_await beast::http::async_read_header(
+        stream, connection->buffer, parser, kTokens);
+    if (head_error) {
+      co_return MakeError(*connection, head_error);
+    }
+    const unsigned status = parser.get().result_int();
+    const StatusKind kind = KindOf(status);
+    if (kind == StatusKind::kInterim) {
+      continue;
+    }
+    if (kind == StatusKind::kNone) {
+      co_return ExchangeError{ExchangeErrorKind::kBroken,
+                              "answer with status " + std::to_string(status)};
+    }
+    auto [read_error, read] = co_await beast::http::async_read(
+        stream, connection->buffer, parser, kTokens);
+    if (read_error) {
+      co_return MakeError(*connection, read_error);
+    }
+    // A body that ends with the connection has no length to check it against.
+    if (parser.need_eof()) {
+      co_return ExchangeError{ExchangeErrorKind::kBroken,
+                              "the answer has no length"};
+    }
+    stream.expires_never();
+    co_return parser.release();
   }
-  stream.expires_never();
-  co_return parser.release();
+  co_return ExchangeError{ExchangeErrorKind::kBroken,
+                          "too many interim answers"};
 }
 
 }  // namespace
--- a/packages/io/src/http/server.cpp
+++ b/packages/io/src/http/server.cpp
@@ -9,9 +9,12 @@
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
+#include <chrono>
+#include <map>
 #include <mutex>
 #include <set>
 
+#include "lycheewell/core/overload/connection_admission.h"
 #include "lycheewell/io/http/address.h"
 
 namespace lycheewell::io::http {
@@ -27,6 +30,50 @@
 using Socket = asio::basic_stream_socket<tcp, Strand>;
 using Stream = beast::basic_stream<tcp, Strand>;
 
+// Beside a header, the buffer of a connection holds the start of a body or of
+// the next request.
+constexpr std::size_t kBufferMargin = 4 * 1024;
+
+// A request's body is held here and on its way to the target.
+constexpr std::size_t kCopiesOfBody = 2;
+
+constexpr std::string_view kNotRun = "not-run";
+
+// Retry-After of requests that do not fit into memory, in seconds.
+constexpr std::string_view kNoMemoryRetryAfter = "1";
+
+// Bytes that count towards the servers' bound while the object lives.
+class HeldBytes {
+ public:
+  explicit HeldBytes(std::shared_ptr<SharedHeldMemory> new_memory)
+      : memory(std::move(new_memory)) {}
+  ~HeldBytes() {
+    if (this->memory) {
+      this->memory->Remove(this->bytes);
+    }
+  }
+  HeldBytes(const HeldBytes&) = delete;
+  HeldBytes& operator=(const HeldBytes&) = delete;
+
+  bool Take(std::size_t more) {
+    if (this->memory && !this->memory->Take(more)) {
+      return false;
+    }
+    this->bytes += more;
+    return true;
+  }
+  void Add(std::size_t more) {
+    if (this->memory) {
+      this->memory->Add(more);
+    }
+    this->bytes += more;
+  }
+
+ private:
+  std::shared_ptr<SharedHeldMemory> memory;  // null: no bound
+  std::size_t bytes = 0;
+};
+
 // A problem that says nothing about whether a target ran the request.
 Response MakeProblem(Status status, std::string_view title) {
   Response response = MakeResponse(
@@ -51,6 +98,37 @@
 
 }  // namespace
 
+bool SharedHeldMemory::Take(std::size_t bytes) {
+  constexpr bool kIsEssential = false;
+  const std::lock_guard lock(this->mutex);
+  const bool fits =
+      this->memory.may_take_request(kIsEssential) &&
+      bytes <= this->memory.limit_bytes() - this->memory.used_bytes();
+  if (fits) {
+    this->memory.Change(0, bytes);
+  }
+  return fits;
+}
+
+void SharedHeldMemory::Add(std::size_t bytes) {
+  const std::lock_guard lock(this->mutex);
+  this->memory.Change(0, bytes);
+}
+
+void SharedHeldMemory::Remove(std::size_t bytes) {
+  const std::lock_guard lock(this->mutex);
+  this->memory.Change(bytes, 0);
+}
+
+std::size_t SharedHeldMemory::most_connections() const {
+  return this->memory.most_connections();
+}
+
+std::size_t SharedHeldMemory::used_bytes() const {
+  const std::lock_guard lock(this->mutex);
+  return this->memory.used_bytes();
+}
+
 // State that connections share with the server and that outlives it.
 class Server::Shared : public std::enable_shared_from_this<Server::Shared> {
  public:
@@ -82,11 +160,7 @@
                });
     const std::lock_guard lock(this->mutex);
     for (const auto& connection : this->connections) {
-      asio::post(connection->stream.get_executor(), [connection] {
-        if (connection->is_idle) {
-          connection->stream.cancel();
-        }
-      });
+      CancelIfIdle(connection);
     }
   }
 
@@ -99,14 +173,74 @@
 
  private:
   struct Connection {
-    explicit Connection(Socket socket) : stream(std::move(socket)) {}
+    Connection(Socket socket, const ServerOptions& options)
+        : stream(std::move(socket)),
+          buffer(options.header_limit + kBufferMargin),
+          held(options.held) {
+      boost::system::error_code ignored;
+      this->peer = this->stream.socket().remote_endpoint(ignored).address();
+      this->held.Add(core::overload::kConnectionBytes +
+                     this->buffer.max_size());
+    }
 
     Stream stream;
     beast::flat_buffer buffer;
-    bool is_idle = true;  // used on the stream's strand
+    HeldBytes held;
+    asio::ip::address peer;
+    // Written on the stream's strand.
+    std::atomic<bool> is_idle = true;
+    std::atomic<std::chrono::steady_clock::time_point> idle_since =
+        std::chrono::steady_clock::now();
   };
   using ConnectionPointer = std::shared_ptr<Connection>;
 
+  static void CancelIfIdle(const ConnectionPointer& connection) {
+    asio::post(connection->stream.get_executor(), [connection] {
+      if (connection->is_idle) {
+        connection->stream.cancel();
+      }
+    });
+  }
+
+  // Whether another connection is taken; an idle one may be closed for it. The
+  // mutex is held.
+  bool MakeRoomFor(const ConnectionPointer& connection) {
+    using core::overload::ConnectionDecision;
+    if (!this->options.held) {
+      return true;
+    }
+    const std::size_t most =
+        this->options.held->most_connections() /
+        (1 + connection->buffer.max_size() / core::overload::kConnectionBytes);
+    core::overload::ConnectionUse use{.open = this->connections.size()};
+    ConnectionPointer oldest;
+    for (const auto& other : this->connections) {
+      use.of_address += other->peer == connection->peer ? 1 : 0;
+      if (other->is_idle &&
+          (!oldest || other->idle_since.load() < oldest->idle_since.load())) {
+        oldest = other;
+      }
+    }
+    if (oldest) {
+      use.idle_for =
+          std::chrono::steady_clock::now() - oldest->idle_since.load();
+    }
+    const auto decision = core::overload::DecideConnection(
+        core::overload::LimitTo({.usual = most, .most = most}, most), use);
+    if (decision == ConnectionDecision::kReplaceIdle) {
+      CancelIfIdle(oldest);
+    }
+    return decision == ConnectionDecision::kTake ||
+           decision == ConnectionDecision::kReplaceIdle;
+  }
+
+  void ReportClosed(const Connection& connection) {
+    if (this->options.on_closed) {
+      this->options.on_closed({.reason = "too many connections",
+                               .address = connection.peer.to_string()});
+    }
+  }
+
   asio::awaitable<void> Accept(std::shared_ptr<Shared> self) {
     constexpr auto kPauseAfterError = std::chrono::milliseconds(20);
     while (!this->stopping) {
@@ -123,10 +257,19 @@
       }
       boost::system::error_code ignored;
       socket.set_option(tcp::no_delay(true), ignored);
-      auto connection = std::make_shared<Connection>(std::move(socket));
+      auto connection =
+          std::make_shared<Connection>(std::move(socket), this->options);
+      bool has_room = false;
       {
         const std::lock_guard lock(this->mutex);
-        this->connections.insert(connection);
+        has_room = this->MakeRoomFor(connection);
+        if (has_room) {
+          this->connections.insert(connection);
+        }
+      }
+      if (!has_room) {
+        this->ReportClosed(*connection);
+        continue;
       }
       asio::co_spawn(connection->stream.get_executor(),
                      this->Serve(self, connection), asio::detached);
@@ -154,10 +297,23 @@
       co_return false;
     }
     connection->is_idle = false;
+    HeldBytes held(this->options.held);
     beast::http::request_parser<beast::http::string_body> parser;
     parser.body_limit(this->options.body_limit);
     parser.header_limit(static_cast<std::uint32_t>(this->options.header_limit));
     stream.expires_after(this->options.transfer_timeout);
+    auto [head_error, head_size] = co_await beast::http::async_read_header(
+        stream, connection->buffer, parser, kTokens);
+    if (head_error) {
+      co_await this->AnswerBadRequest(connection, head_error);
+      co_return false;
+    }
+    const std::size_t body_size = parser.content_length().value_or(
+        parser.chunked() ? this->options.body_limit : 0);
+    if (!held.Take(kCopiesOfBody * body_size)) {
+      co_await this->RefuseForMemory(connection);
+      co_return false;
+    }
     auto [error, size] = co_await beast::http::async_read(
         stream, connection->buffer, parser, kTokens);
     if (error) {
@@ -177,6 +333,7 @@
     response->keep_alive(keep_alive && response->keep_alive() &&
                          !this->stopping);
     const bool goes_on = response->keep_alive();
+    held.Add(response->body().size());
     stream.expires_after(this->options.transfer_timeout);
     beast::http::response_serializer<beast::http::string_body> serializer(
         *response);
@@ -191,6 +348,7 @@
           co_await beast::http::async_write(stream, serializer, kTokens);
       write_error = body_error;
     }
+    connection->idle_since = std::chrono::steady_clock::now();
     connection->is_idle = true;
     co_return !write_error && goes_on;
   }
@@ -259,7 +417,22 @@
       status = Status::request_header_fields_too_large;
     }
     Response response = MakeProblem(status, problem.message());
-    response.set("Lycheewell-Outcome", "not-run");
+    co_await this->RefuseAndClose(connection, response);
+  }
+
+  asio::awaitable<void> RefuseForMemory(ConnectionPointer connection) {
+    constexpr std::string_view kReason = "no memory left for requests";
+    if (this->options.on_bad_request) {
+      this->options.on_bad_request(kReason);
+    }
+    Response response = MakeProblem(Status::service_unavailable, kReason);
+    response.set(Field::retry_after, std::string(kNoMemoryRetryAfter));
+    co_await this->RefuseAndClose(connection, response);
+  }
+
+  asio::awaitable<void> RefuseAndClose(ConnectionPointer connection,
+                                       Response& response) {
+    response.set("Lycheewell-Outcome", std::string(kNotRun));
     connection->stream.expires_after(this->options.transfer_timeout);
     co_await beast::http::async_write(connection->stream, response, kTokens);
     co_await this->DrainInput(connection);
@@ -270,7 +443,7 @@
   asio::awaitable<void> DrainInput(ConnectionPointer connection) {
     constexpr auto kDrainTime = std::chrono::seconds(1);
     constexpr std::size_t kDrainBytes = 8 * 1024 * 1024;
-    constexpr std::size_t kChunk = 64 * 1024;
+    constexpr std::size_t kChunk = 4 * 1024;
     Stream& stream = connection->stream;
     boost::system::error_code ignored;
     stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
--- a/packages/sidecar/src/http/client_connection.cpp
+++ b/packages/sidecar/src/http/client_connection.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/write.hpp>
 #include <charconv>
 
+#include "lycheewell/io/http/status.h"
 #include "lycheewell/sidecar/clock.h"
 #include "lycheewell/sidecar/http/socket_options.h"
 
@@ -176,6 +177,13 @@
       this->Fail("unreadable answer: " + error.message());
       return;
     }
+    if (this->parser->is_header_done()) {
+      const unsigned status = this->parser->get().result_int();
+      if (io::http::KindOf(status) == io::http::StatusKind::kNone) {
+        this->Fail("answer with status " + std::to_string(status));
+        return;
+      }
+    }
     if (!this->body_allowance.Grow(this->parser->get().body().size())) {
       this->Fail("no memory left for the answer's body");
       return;
@@ -196,8 +204,8 @@
   io::http::Response response = this->parser->release();
   this->parser.reset();
   this->body_allowance.Reset();
-  constexpr unsigned kFirstFinalStatus = 200;
-  const bool is_interim = response.result_int() < kFirstFinalStatus;
+  const bool is_interim =
+      io::http::KindOf(response.result_int()) == io::http::StatusKind::kInterim;
   const bool is_late = !is_interim && this->current->is_matching_response &&
                        !this->current->is_matching_response(response);
   if (is_interim || is_late) {
--- a/tests/daemon/settings_test.cpp
+++ b/tests/daemon/settings_test.cpp
@@ -72,6 +72,7 @@
                               "operators[].token_sha256",
                               "limits.body_bytes",
                               "limits.header_bytes",
+                              "limits.held_bytes",
                               "limits.default_timeout_ms",
                               "limits.largest_timeout_ms",
                               "logging.level",
--- a/tests/sidecar/requests_ahead_test.cpp
+++ b/tests/sidecar/requests_ahead_test.cpp
@@ -63,6 +63,15 @@
     this->context.run_for(kTransit);
   }
 
+  // What the client has received by now.
+  std::string ReadAnswers() {
+    std::string text(64 * 1024, '\0');
+    boost::system::error_code ignored;
+    this->client.non_blocking(true, ignored);
+    text.resize(this->client.read_some(asio::buffer(text), ignored));
+    return text;
+  }
+
   std::vector<std::string> ReadTargets() const {
     std::vector<std::string> targets;
     for (const auto& exchange : this->held) {
@@ -128,3 +137,61 @@
     CHECK(fixture.rejected.empty());
   }
 }
+
+// Guards against a request that runs although its client was told, by the end
+// of the connection, that it has not been read.
+TEST_CASE("Requests sent ahead are answered in their order",
+          "[sidecar][requests-ahead]") {
+  Fixture fixture;
+  fixture.Send(RequestFor("/first") + RequestFor("/second") +
+               RequestFor("/third"));
+  REQUIRE(fixture.ReadTargets() == std::vector<std::string>{"/first"});
+
+  SECTION("each with its own answer") {
+    for (const char* body : {"one", "two", "three"}) {
+      fixture.held.back()->Send({.status = 200, .body = body});
+      fixture.Run();
+    }
+    const std::string answers = fixture.ReadAnswers();
+    CHECK(answers.find("one") < answers.find("two"));
+    CHECK(answers.find("two") < answers.find("three"));
+    CHECK(answers.find("three") != std::string::npos);
+  }
+  SECTION("nothing behind an answer that closes is run") {
+    SECTION("because the server says so") {
+      fixture.held.back()->Send({.status = 503, .closes = true});
+    }
+    SECTION("because a drain begins between two of them") {
+      fixture.Answer();
+      REQUIRE(fixture.held.size() == 2);
+      fixture.server.BeginDrain();
+      fixture.Answer();
+    }
+    fixture.Run();
+    fixture.Send(RequestFor("/late"));
+    const std::string answers = fixture.ReadAnswers();
+    CHECK(answers.find("Connection: close") != std::string::npos);
+    CHECK(fixture.ReadTargets().back() != "/third");
+    CHECK(fixture.ReadTargets().back() != "/late");
+  }
+}
+
+TEST_CASE("A request that closes its connection is the last one",
+          "[sidecar][requests-ahead]") {
+  Fixture fixture;
+
+  SECTION("as it says itself") {
+    fixture.Send("GET /first HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n" +
+                 RequestFor("/second"));
+    fixture.Answer();
+  }
+  SECTION("as it cannot be read") {
+    fixture.Send(RequestFor("/first") + "no request\r\n\r\n" +
+                 RequestFor("/second"));
+    fixture.Answer();
+    CHECK(fixture.rejected == std::vector<unsigned>{400});
+  }
+  fixture.Run();
+  CHECK(fixture.ReadTargets() == std::vector<std::string>{"/first"});
+  CHECK(fixture.ReadAnswers().find("Connection: close") != std::string::npos);
+}
--- a/tests/sidecar/server_test.cpp
+++ b/tests/sidecar/server_test.cpp
@@ -27,6 +27,9 @@
   TimerQueue timers{this->context};
   http::ByteBudgetPointer budget =
       std::make_shared<http::ByteBudget>(4 * 1024 * 1024);
+  http::HeldMemoryPointer memory =
+      std::make_shared<core::overload::HeldMemory>(32 * 1024 * 1024);
+  std::vector<http::ConnectionCut> cuts;
   std::vector<http::ExchangePointer> held;
   bool holds = false;
   http::Server server{
@@ -44,7 +47,12 @@
        .limits =
            [] { return http::ServerLimits{.body_bytes = 2 * 1024 * 1024}; },
        .on_bad_request = [](unsigned, std::string_view) {},
-       .body_budget = this->budget}};
+       .body_budget = this->budget,
+       .held = this->memory,
+       .on_cut =
+           [this](const http::ConnectionCut& cut) {
+             this->cuts.push_back(cut);
+           }}};
 
   void RunFor(milliseconds time) {
     this->context.restart();
@@ -196,6 +204,44 @@
   }
 }
 
+// Guards against slow readers of long answers that together hold more than the
+// VM has.
+TEST_CASE("Answers that are not read count towards the bound",
+          "[sidecar][server]") {
+  Fixture fixture;
+  fixture.server.Start();
+  fixture.holds = true;
+  constexpr std::size_t kAnswer = 32ULL * 1024 * 1024;
+  Client slow;
+  slow.Request();
+  fixture.RunFor(milliseconds(50));
+  REQUIRE(fixture.held.size() == 1);
+  fixture.held.front()->Send(
+      {.status = 200, .body = std::string(kAnswer, 'x')});
+  fixture.RunFor(milliseconds(50));
+  CHECK(fixture.memory->used_bytes() > kAnswer);
+
+  SECTION("new work is refused as not run, with a time") {
+    Client other;
+    other.Request();
+    fixture.RunFor(milliseconds(50));
+    const std::string answer = other.ReadAll();
+    CHECK(answer.starts_with("HTTP/1.1 503"));
+    CHECK(answer.find("Retry-After: ") != std::string::npos);
+    CHECK(fixture.held.size() == 1);
+  }
+  SECTION("the connection that stands still is cut, and work goes on") {
+    fixture.RunFor(milliseconds(1600));
+    REQUIRE(fixture.cuts.size() == 1);
+    CHECK(fixture.cuts.front().held_bytes > kAnswer);
+    CHECK(fixture.memory->used_bytes() == 0);
+    Client other;
+    other.Request();
+    fixture.RunFor(milliseconds(50));
+    CHECK(fixture.held.size() == 2);
+  }
+}
+
 // Guards against requests that are passed on although their clients left while
 // the connections waited to be accepted.
 TEST_CASE("A client that left before its connection was accepted is not served",
