--- a/packages/daemon/include/lycheewell/daemon/events/event_catalogue.h
+++ b/packages/daemon/include/lycheewell/daemon/events/event_catalogue.h
@@ -42,6 +42,8 @@
   kEntryPartChanged = 2108,
   kCallHeldBack = 2109,
   kCallArrivedLate = 2110,
+  kCallWaited = 2114,
+  kAccountCut = 2115,
 
   kLogUnreachable = 3001,
   kLogReachable = 3002,
@@ -58,6 +60,10 @@
   kStoreReachable = 3104,
   kProofExpired = 3105,
   kMemberAnnounced = 3106,
+  kDataCentreEvacuated = 3107,
+  kDataCentreTakenBack = 3108,
+  kDataCentreClosed = 3109,
+  kStoreRestored = 3110,
 
   kMemberHealthChanged = 4001,
   kMemberEvicted = 4002,
--- a/packages/sidecar/include/lycheewell/sidecar/requests/gate.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/gate.h
@@ -46,6 +46,9 @@
   // A request that is not expected to be answered by then is refused.
   core::Instant soft_deadline;
   int rank = 0;
+  // Of a call that waits with patience; see core::overload::CallTimes.
+  std::optional<core::Instant> root_arrived_at;
+  bool is_root_known = false;
   bool is_idempotent = false;
   // Another target of the service has refused it.
   bool was_refused = false;
@@ -58,6 +61,8 @@
 struct CallOrigin {
   std::string route;  // of the client request
   int rank = 0;
+  // Arrival of the client request; empty if the request is only a likely one.
+  std::optional<core::Instant> root_arrived_at;
 
   bool operator==(const CallOrigin&) const = default;
 };
@@ -68,6 +73,8 @@
 inline constexpr std::string_view kOverLimit = "over the target's limit";
 // Reason for refusing a request that has crashed targets.
 inline constexpr std::string_view kQuarantined = "it has crashed targets";
+// Reason for refusing a request because the target's data centre is evacuated.
+inline constexpr std::string_view kEvacuated = "data centre is evacuated";
 
 enum class Outcome { kAnswered, kNotRun, kMayHaveRun };
 
@@ -102,6 +109,8 @@
     Quarantine& quarantine;
     // Daemons that may send requests to the target, this one included.
     std::function<std::size_t()> daemon_count;
+    // Whether a call must be refused because the data centre is evacuated.
+    std::function<bool()> refuses_for_evacuation;
   };
 
   Gate(boost::asio::io_context& context, TimerQueue& timers, DecisionLog& log,
@@ -145,6 +154,9 @@
   // Refuses new work because this daemon stops.
   void BeginDrain();
 
+  // Refuses the requests that wait; the data centre is evacuated.
+  void RefuseForEvacuation();
+
   // Queries.
 
   mesh::Target DescribeTarget() const;
@@ -173,6 +185,7 @@
     Callback done;
     std::unique_ptr<http::BodyAllowance> body_allowance;
     std::shared_ptr<http::ClientConnection> connection;
+    core::Instant submitted_at;
     core::Instant started_at;
     core::DaemonRef start;  // of the target, when the run began
     TimerQueue::Id timer = 0;
@@ -200,8 +213,11 @@
   void OfferNextSuspect();
   // Forgets the call; the next suspect takes its turn.
   void EraseCall(Ticket ticket);
+  // When the call's answer is no longer of use.
+  core::Instant AnswerBy(const GateCall& call) const;
   core::Instant LatestStart(const GateCall& call) const;
   void RecordRun(const Call& call, GateReply& reply, core::Instant now);
+  void LogLongWait(const Call& call, core::Instant now);
   void Run(Ticket ticket);
   void OnWritten(Ticket ticket);
   // Accounts for the end of a running call.
@@ -220,6 +236,8 @@
   void ConfirmCrash();
   void ReleaseBrokenRuns();
   bool has_usable_connection() const;
+  // Whether a request that was written before `begin` still runs.
+  bool has_older_run(core::Instant begin) const;
   void Reply(Ticket ticket, GateReply reply);
   void Refuse(Ticket ticket, std::string_view reason,
               core::Duration retry_after);
--- a/packages/sidecar/include/lycheewell/sidecar/settings.h
+++ b/packages/sidecar/include/lycheewell/sidecar/settings.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -27,6 +28,9 @@
   core::Duration repeat_window = std::chrono::seconds(10);
   // Maximum requests of an account in any such window: rate * window + burst.
   core::Duration account_window = std::chrono::seconds(5);
+  // An evacuated data centre gets no more requests after this time. Zero:
+  // evacuations are not asked for, and their records have no effect.
+  core::Duration evacuation{};
 
   bool operator==(const BoundSettings&) const = default;
 };
@@ -40,6 +44,17 @@
   bool operator==(const LimitSettings&) const = default;
 };
 
+// Optional parts of the admission control. All are off unless the settings ask
+// for them.
+struct AdmissionSettings {
+  // Calls of running requests wait for as long as their callers do.
+  bool patient_calls = false;
+  // Client accounts share the room of a route by their rates.
+  bool account_turns = false;
+
+  bool operator==(const AdmissionSettings&) const = default;
+};
+
 struct Settings {
   std::string name;
   std::string data_centre;
@@ -54,10 +69,14 @@
   std::uint16_t advertised_links_port = 0;
   std::uint16_t metrics_port = 0;
   std::string store_address;
+  // Region of each data centre. A request with homes goes to no data centre
+  // that is not listed.
+  std::map<std::string, std::string> regions;
   // Approximate time between two announcements of a target.
   core::Duration announcement_period = std::chrono::milliseconds(1500);
   LimitSettings limits;
   BoundSettings bounds;
+  AdmissionSettings admission;
 
   bool operator==(const Settings&) const = default;
 };
--- a/packages/sidecar/src/requests/frontend.cpp
+++ b/packages/sidecar/src/requests/frontend.cpp
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <span>
 
+#include "lycheewell/core/overload/call_patience.h"
 #include "lycheewell/sidecar/clock.h"
 
 namespace lycheewell::sidecar::requests {
@@ -107,6 +109,9 @@
   core::Instant deadline;
   core::Instant soft_deadline;
   int rank = 0;
+  // Of a call that waits with patience; see core::overload::CallTimes.
+  std::optional<core::Instant> root_arrived_at;
+  bool is_root_known = false;
   bool holds_token = false;  // of its account's rate
   int attempts = 0;          // sends that reached or may have reached a target
   int refusals = 0;          // answers that the request was not run
@@ -218,13 +223,43 @@
   }
   EntryCounts& counts = this->counts_by_route[route.name];
   ++counts.offered;
-  if (!this->demand_model.Admit(route.name, route.priority)) {
+  const bool is_granted = this->demand_model.Admit(route.name, route.priority);
+  if (!(this->options.settings.admission.account_turns
+            ? this->AdmitByAccount(pending, is_granted)
+            : is_granted)) {
     return false;
   }
   ++counts.entered;
   return true;
 }
 
+bool Frontend::AdmitByAccount(const PendingPointer& pending, bool is_granted) {
+  using core::overload::AccountVerdict;
+  const Route& route = *pending->route;
+  const core::manifest::Account& account = *pending->account;
+  core::overload::AccountTurns& turns = this->account_turns[{
+      route.name, account.priority.value_or(route.priority)}];
+  const AccountVerdict verdict = turns.Offer(
+      {.account = account.name,
+       .weight = account.rate_per_second,
+       .admitted_fraction = this->demand_model.admitted_fraction(route.name),
+       .is_granted = is_granted},
+      Now(), this->random);
+  if (verdict == AccountVerdict::kAdmit) {
+    return true;
+  }
+  const bool is_over_part = verdict == AccountVerdict::kOverPart;
+  this->options.counters.Count(
+      "entry_refused", is_over_part ? "over its part" : "within its part");
+  if (is_over_part && this->log.WouldWrite(Event::kAccountCut)) {
+    this->log.Write(Event::kAccountCut,
+                    {{"account", account.name},
+                     {"route", route.name},
+                     {"part", std::to_string(turns.PartOf(account.name))}});
+  }
+  return false;
+}
+
 void Frontend::LogAdmittedFractions() {
   for (const auto& decision : this->demand_model.Decisions()) {
     double& logged =
@@ -287,6 +322,11 @@
     rank = origin->rank >= kClientRequestRankBase
                ? origin->rank - kClientRequestRankBase
                : origin->rank;
+    if (this->options.settings.admission.patient_calls) {
+      pending->is_root_known = origin->root_arrived_at.has_value();
+      pending->root_arrived_at =
+          origin->root_arrived_at.value_or(pending->arrived_at);
+    }
   }
   pending->rank = rank;
   pending->fingerprint = core::quarantine::FingerprintOf(
@@ -361,13 +401,21 @@
   const auto choice = this->ChooseTarget(pending, now);
   if (!choice) {
     const bool is_at_limit = this->targets.HasLimitedTarget(pending->service);
-    this->Refuse(pending, 503, is_at_limit ? kOverLimit : "no target",
+    const bool has_homes =
+        !pending->route->homes.empty() ||
+        (pending->account != nullptr && !pending->account->homes.empty());
+    this->Refuse(pending, 503,
+                 is_at_limit ? kOverLimit
+                 : has_homes ? "no target in its regions"
+                             : "no target",
                  is_at_limit ? FractionOfLatencyTarget(*pending->route,
                                                        kNoSlotRetryFraction)
                              : kNotReadyRetryAfter);
     return;
   }
-  if (now + choice->expected_wait > pending->soft_deadline) {
+  // Only the gate knows the turn of a call that waits with patience.
+  if (!pending->root_arrived_at &&
+      now + choice->expected_wait > pending->soft_deadline) {
     this->Refuse(pending, 503, kNoSlotExpected,
                  std::max(choice->expected_wait,
                           FractionOfLatencyTarget(*pending->route,
@@ -383,7 +431,11 @@
       pending->service, pending->excluded, now, this->random,
       {.rank = pending->rank,
        .body_bytes = pending->exchange->request().body().size(),
-       .prefers_unlimited = pending->was_over_limit});
+       .prefers_unlimited = pending->was_over_limit,
+       .route_homes = pending->route->homes,
+       .account_homes = pending->account == nullptr
+                            ? std::span<const std::string>()
+                            : pending->account->homes});
 }
 
 void Frontend::SendTo(const PendingPointer& pending,
@@ -417,6 +469,8 @@
          .deadline = pending->deadline,
          .soft_deadline = pending->soft_deadline,
          .rank = pending->rank,
+         .root_arrived_at = pending->root_arrived_at,
+         .is_root_known = pending->is_root_known,
          .is_idempotent = pending->route->is_idempotent,
          .was_refused = pending->refusals > 0,
          .fingerprint = pending->fingerprint,
@@ -447,6 +501,10 @@
   call.set_time_left_ms(MillisecondsLeft(pending->deadline, now));
   call.set_queue_limit_ms(MillisecondsLeft(pending->soft_deadline, now));
   call.set_rank(static_cast<std::uint32_t>(std::max(0, pending->rank)));
+  if (pending->root_arrived_at) {
+    call.set_root_age_ms(MillisecondsLeft(now, *pending->root_arrived_at));
+    call.set_is_root_known(pending->is_root_known);
+  }
   call.set_route(pending->route->name);
   call.set_origin(pending->origin);
   call.set_was_refused(pending->refusals > 0);
@@ -634,6 +692,19 @@
   this->Dispatch(pending);
 }
 
+bool Frontend::MayTry(const PendingPointer& pending,
+                      const core::routing::Choice& choice,
+                      const GateReply& refusal, core::Instant now) {
+  if (pending->root_arrived_at && refusal.reason == kNoSlot) {
+    return core::overload::IsWorthAnotherTry(
+        {.answer_by = pending->deadline,
+         .refused_wait = refusal.retry_after,
+         .other_wait = choice.expected_wait},
+        now);
+  }
+  return now + choice.expected_wait <= pending->soft_deadline;
+}
+
 void Frontend::OnNotRun(const PendingPointer& pending, const GateReply& reply) {
   const core::Instant now = Now();
   ++pending->refusals;
@@ -658,7 +729,7 @@
                                .Spend(this->options.mesh.daemon_count(), now)));
   const auto choice =
       may_try_other_target ? this->ChooseTarget(pending, now) : std::nullopt;
-  if (!choice || now + choice->expected_wait > pending->soft_deadline) {
+  if (!choice || !this->MayTry(pending, *choice, reply, now)) {
     // The backoff of a limited target is meant for daemons, not for clients.
     this->Refuse(pending, 503, reply.reason,
                  std::max(reply.reason == kOverLimit ? core::Duration::zero()
--- a/packages/sidecar/src/settings.cpp
+++ b/packages/sidecar/src/settings.cpp
@@ -23,6 +23,8 @@
 
 // Shorter windows cannot be divided into slices of whole milliseconds.
 constexpr core::Duration kMinAccountWindow = std::chrono::milliseconds(100);
+// Leaves time to learn of an evacuation and to move the work.
+constexpr core::Duration kMinEvacuationBound = std::chrono::seconds(1);
 
 // With less, single requests inside a manifest's usual limits do not fit.
 constexpr std::size_t kMinHeldBytes = 1024 * 1024;
@@ -88,6 +90,29 @@
     return std::get<core::Duration>(parsed);
   }
 
+  // An object with texts, which may be left out.
+  std::map<std::string, std::string> Texts(
+      std::initializer_list<std::string_view> path) {
+    std::map<std::string, std::string> texts;
+    const json::value* value = this->Find(path);
+    if (value == nullptr || value->is_null()) {
+      return texts;
+    }
+    const json::object* object = value->if_object();
+    if (object == nullptr) {
+      this->Report(path, "is not an object");
+      return texts;
+    }
+    for (const auto& [name, text] : *object) {
+      if (text.is_string()) {
+        texts[std::string(name)] = std::string(text.get_string());
+      } else {
+        this->Report(path, "holds a value that is not a text");
+      }
+    }
+    return texts;
+  }
+
   // A port that may be left out.
   std::uint16_t PortOr(std::initializer_list<std::string_view> path,
                        std::uint16_t fallback) {
@@ -108,6 +133,19 @@
     return number;
   }
 
+  // A switch that is off when it is left out.
+  bool Switch(std::initializer_list<std::string_view> path) {
+    const json::value* value = this->Find(path);
+    if (value == nullptr || value->is_null()) {
+      return false;
+    }
+    if (!value->is_bool()) {
+      this->Report(path, "is not true or false");
+      return false;
+    }
+    return value->get_bool();
+  }
+
  private:
   const json::value* Find(std::initializer_list<std::string_view> path) const {
     const json::object* object = &this->root;
@@ -197,26 +235,32 @@
           reader.PortOr({"advertised_links_port"}, links_port),
       .metrics_port = reader.Port({"metrics_port"}),
       .store_address = reader.Address({"store", "address"}),
+      .regions = reader.Texts({"regions"}),
       .announcement_period = reader.Time({"target", "announcement_period"},
                                          Settings().announcement_period),
       .limits = {.held_bytes = static_cast<std::size_t>(reader.Number(
                      {"limits", "held_bytes"},
                      static_cast<double>(LimitSettings().held_bytes)))},
-      .bounds = {
-          .manifest_adoption = reader.Time({"bounds", "manifest_adoption"},
-                                           defaults.manifest_adoption),
-          .key_withdrawal = reader.Time({"bounds", "key_withdrawal"},
-                                        defaults.key_withdrawal),
-          .stop_grace =
-              reader.Time({"bounds", "stop_grace"}, defaults.stop_grace),
-          .repeat_ratio =
-              reader.Number({"bounds", "repeat_ratio"}, defaults.repeat_ratio),
-          .repeat_base =
-              reader.Number({"bounds", "repeat_base"}, defaults.repeat_base),
-          .repeat_window =
-              reader.Time({"bounds", "repeat_window"}, defaults.repeat_window),
-          .account_window = reader.Time({"bounds", "account_window"},
-                                        defaults.account_window)}};
+      .bounds = {.manifest_adoption =
+                     reader.Time({"bounds", "manifest_adoption"},
+                                 defaults.manifest_adoption),
+                 .key_withdrawal = reader.Time({"bounds", "key_withdrawal"},
+                                               defaults.key_withdrawal),
+                 .stop_grace =
+                     reader.Time({"bounds", "stop_grace"}, defaults.stop_grace),
+                 .repeat_ratio = reader.Number({"bounds", "repeat_ratio"},
+                                               defaults.repeat_ratio),
+                 .repeat_base = reader.Number({"bounds", "repeat_base"},
+                                              defaults.repeat_base),
+                 .repeat_window = reader.Time({"bounds", "repeat_window"},
+                                              defaults.repeat_window),
+                 .account_window = reader.Time({"bounds", "account_window"},
+                                               defaults.account_window),
+                 .evacuation = reader.Time({"bounds", "evacuation"},
+                                           defaults.evacuation)},
+      .admission = {
+          .patient_calls = reader.Switch({"admission", "patient_calls"}),
+          .account_turns = reader.Switch({"admission", "account_turns"})}};
   if (settings.limits.held_bytes < kMinHeldBytes) {
     problems.push_back({"sidecar.limits.held_bytes", "is less than 1048576"});
   }
@@ -232,6 +276,10 @@
     problems.push_back(
         {"sidecar.bounds.account_window", "is shorter than 100ms"});
   }
+  if (settings.bounds.evacuation > core::Duration::zero() &&
+      settings.bounds.evacuation < kMinEvacuationBound) {
+    problems.push_back({"sidecar.bounds.evacuation", "is shorter than 1s"});
+  }
   if (!settings.address.empty() &&
       !io::http::TryParseEndpoint(settings.address + ":1")) {
     problems.push_back({"sidecar.address", "is not an IP number"});
--- a/tests/harness/sidecar_vm.cpp
+++ b/tests/harness/sidecar_vm.cpp
@@ -137,11 +137,14 @@
 }
 
 SidecarVm::SidecarVm(int number, int new_store_port, int new_links_proxy_port,
+                     std::string new_data_centre, std::string new_bounds,
                      std::string new_limits)
     : base_port(kFirstSidecarPort + 20 + 20 * number),
       name("vm-" + std::to_string(number)),
       store_port(new_store_port),
       links_proxy_port(new_links_proxy_port),
+      data_centre(std::move(new_data_centre)),
+      bounds(std::move(new_bounds)),
       limits(std::move(new_limits)),
       folder((std::filesystem::temp_directory_path() /
               ("lycheewell-sidecar-" + std::to_string(getpid()) + "-" +
@@ -162,20 +165,27 @@
 void SidecarVm::Start() {
   std::filesystem::create_directories(this->folder);
   const std::string path = this->folder + "/settings.json";
-  std::ofstream(path)
-      << R"({"sidecar":{"name":")" << this->name
-      << R"(","data_centre":"z","address":"127.0.0.1","clients_address":")"
-      << LoopbackAddress(this->base_port) << R"(","announcements_address":")"
-      << LoopbackAddress(this->base_port + 1) << R"(","readiness_address":")"
-      << LoopbackAddress(this->base_port + 2) << R"(","target":{"address":")"
-      << LoopbackAddress(this->base_port + 3)
-      << R"(","service":"s"},"links_port":)" << this->base_port + 4
-      << R"(,"advertised_links_port":)"
-      << (this->links_proxy_port > 0 ? this->links_proxy_port
-                                     : this->base_port + 4)
-      << R"(,"metrics_port":)" << this->base_port + 5
-      << R"(,"store":{"address":")" << LoopbackAddress(this->store_port)
-      << R"("},"limits":)" << this->limits << R"(,"bounds":{}}})";
+  std::ofstream(path) << R"({"sidecar":{"name":")" << this->name
+                      << R"(","data_centre":")" << this->data_centre
+                      << R"(","address":"127.0.0.1","clients_address":")"
+                      << LoopbackAddress(this->base_port)
+                      << R"(","announcements_address":")"
+                      << LoopbackAddress(this->base_port + 1)
+                      << R"(","readiness_address":")"
+                      << LoopbackAddress(this->base_port + 2)
+                      << R"(","target":{"address":")"
+                      << LoopbackAddress(this->base_port + 3)
+                      << R"(","service":"s"},"links_port":)"
+                      << this->base_port + 4 << R"(,"advertised_links_port":)"
+                      << (this->links_proxy_port > 0 ? this->links_proxy_port
+                                                     : this->base_port + 4)
+                      << R"(,"metrics_port":)" << this->base_port + 5
+                      << R"(,"store":{"address":")"
+                      << LoopbackAddress(this->store_port) << R"("},"limits":)"
+                      << this->limits
+                      << R"(,"admission":{"patient_calls":true,)"
+                      << R"("account_turns":true},"bounds":)" << this->bounds
+                      << "}}";
   this->process.emplace(
       std::vector<std::string>{std::string(LYCHEEWELL_BIN_DIR) + "/lycheewelld",
                                "--settings", path},
--- a/tests/harness/sidecar_vm.h
+++ b/tests/harness/sidecar_vm.h
@@ -87,10 +87,11 @@
 class SidecarVm {
  public:
   // `store_port` is where this VM finds the store. Peers dial
-  // `links_proxy_port` if it is not 0. `limits` is the JSON object of that name
-  // in the settings.
+  // `links_proxy_port` if it is not 0. `bounds` and `limits` are settings in
+  // JSON.
   explicit SidecarVm(int number, int store_port = kFirstSidecarPort,
-                     int links_proxy_port = 0, std::string limits = "{}");
+                     int links_proxy_port = 0, std::string data_centre = "z",
+                     std::string bounds = "{}", std::string limits = "{}");
   ~SidecarVm();
 
   SidecarVm(const SidecarVm&) = delete;
@@ -126,6 +127,8 @@
  private:
   int store_port;
   int links_proxy_port;
+  std::string data_centre;
+  std::string bounds;
   std::string limits;
   std::string folder;
 };
--- a/tests/sidecar/flood_test.cpp
+++ b/tests/sidecar/flood_test.cpp
@@ -182,7 +182,7 @@
     this->store.PutManifest(SidecarManifest(1, R"("k1")"));
     {
       const FewDescriptors few;
-      this->vm.emplace(0, kFirstSidecarPort, 0,
+      this->vm.emplace(0, kFirstSidecarPort, 0, "z", "{}",
                        R"({"held_bytes":)" + std::to_string(kLimit) + "}");
     }
     REQUIRE(Eventually([&] { return this->vm->IsReady(); }));
