--- a/packages/sidecar/src/settings.cpp
+++ b/packages/sidecar/src/settings.cpp
@@ -26,6 +26,9 @@
 // Leaves time to learn of an evacuation and to move the work.
 constexpr core::Duration kMinEvacuationBound = std::chrono::seconds(1);
 
+// With less, single requests inside a manifest's usual limits do not fit.
+constexpr std::size_t kMinHeldBytes = 1024 * 1024;
+
 json::value ParseText(std::string_view text, boost::system::error_code& error) {
   json::parse_options options;
   options.allow_comments = true;
@@ -235,6 +238,9 @@
       .regions = reader.Texts({"regions"}),
       .announcement_period = reader.Time({"target", "announcement_period"},
                                          Settings().announcement_period),
+      .limits = {.held_bytes = static_cast<std::size_t>(reader.Number(
+                     {"limits", "held_bytes"},
+                     static_cast<double>(LimitSettings().held_bytes)))},
       .bounds = {.manifest_adoption =
                      reader.Time({"bounds", "manifest_adoption"},
                                  defaults.manifest_adoption),
@@ -255,6 +261,9 @@
       .admission = {
           .patient_calls = reader.Switch({"admission", "patient_calls"}),
           .account_turns = reader.Switch({"admission", "account_turns"})}};
+  if (settings.limits.held_bytes < kMinHeldBytes) {
+    problems.push_back({"sidecar.limits.held_bytes", "is less than 1048576"});
+  }
   if (settings.bounds.manifest_adoption < kMinManifestBound) {
     problems.push_back(
         {"sidecar.bounds.manifest_adoption", "is shorter than 100ms"});
--- a/tests/harness/sidecar_vm.cpp
+++ b/tests/harness/sidecar_vm.cpp
@@ -137,13 +137,15 @@
 }
 
 SidecarVm::SidecarVm(int number, int new_store_port, int new_links_proxy_port,
-                     std::string new_data_centre, std::string new_bounds)
+                     std::string new_data_centre, std::string new_bounds,
+                     std::string new_limits)
     : base_port(kFirstSidecarPort + 20 + 20 * number),
       name("vm-" + std::to_string(number)),
       store_port(new_store_port),
       links_proxy_port(new_links_proxy_port),
       data_centre(std::move(new_data_centre)),
       bounds(std::move(new_bounds)),
+      limits(std::move(new_limits)),
       folder((std::filesystem::temp_directory_path() /
               ("lycheewell-sidecar-" + std::to_string(getpid()) + "-" +
                std::to_string(this->base_port)))
@@ -179,8 +181,9 @@
                                                      : this->base_port + 4)
                       << R"(,"metrics_port":)" << this->base_port + 5
                       << R"(,"store":{"address":")"
-                      << LoopbackAddress(this->store_port)
-                      << R"("},"admission":{"patient_calls":true,)"
+                      << LoopbackAddress(this->store_port) << R"("},"limits":)"
+                      << this->limits
+                      << R"(,"admission":{"patient_calls":true,)"
                       << R"("account_turns":true},"bounds":)" << this->bounds
                       << "}}";
   this->process.emplace(
--- a/tests/harness/sidecar_vm.h
+++ b/tests/harness/sidecar_vm.h
@@ -87,10 +87,11 @@
 class SidecarVm {
  public:
   // `store_port` is where this VM finds the store. Peers dial
-  // `links_proxy_port` if it is not 0. `bounds` are settings in JSON.
+  // `links_proxy_port` if it is not 0. `bounds` and `limits` are settings in
+  // JSON.
   explicit SidecarVm(int number, int store_port = kFirstSidecarPort,
                      int links_proxy_port = 0, std::string data_centre = "z",
-                     std::string bounds = "{}");
+                     std::string bounds = "{}", std::string limits = "{}");
   ~SidecarVm();
 
   SidecarVm(const SidecarVm&) = delete;
@@ -128,6 +129,7 @@
   int links_proxy_port;
   std::string data_centre;
   std::string bounds;
+  std::string limits;
   std::string folder;
 };
 
