The entry follows the queues of the services (admission.fast_entry)

Cause: the demand model learns a burst from counters that are 1 to 2 s old and corrects itself by work that found no slot: in waves and bursts it admits too much for seconds, and every refused lookup wastes its request. Change: every 200 ms the entry takes the wait at each service from the loads that it knows and plans for less than what is admitted there, such that a queue beyond 50 ms is worked off in 1 s; importance and lower bounds hold, and a short queue stays, so that no slot idles. Process tests with it: not run yet.

--- a/packages/core/include/lycheewell/core/overload/demand_model.h
+++ b/packages/core/include/lycheewell/core/overload/demand_model.h
@@ -73,6 +73,14 @@
   // Recomputes the admitted fractions from the counters of the last period.
   void Update(Instant now);
 
+  // Whether FollowQueues() is due.
+  bool IsFollowDue(Instant now) const;
+
+  // Recomputes the admitted fractions from the waits at the services, by
+  // service; see entry_brake.h. The demand is that of the last update.
+  void FollowQueues(const std::map<std::string, Duration, std::less<>>& waits,
+                    Instant now);
+
   // Whether to admit a request of `route`. Lower values of `priority` are more
   // important.
   bool Admit(const std::string& route, int priority);
@@ -103,6 +111,10 @@
   // Slots of `service` that one request per second of `route` occupies.
   double SlotDemandOf(std::string_view route, std::string_view service) const;
 
+  // Lowest fraction of a service's throughput that is planned because its
+  // queues are long; 1 if none is.
+  double lowest_brake_factor() const;
+
  private:
   struct Route {
     // Counted since the last update.
@@ -135,6 +147,9 @@
     double planned_utilization = 0;
     double unmet_fraction = 0;   // of the wanted work, in the last period
     bool is_overloaded = false;  // the offered demand exceeds its capacity
+    double brake_factor = 1;     // because of its queues; see entry_brake.h
+    // Slots that the admitted requests need.
+    double slots_entered = 0;
   };
 
   void UpdateAverages(double seconds);
@@ -142,6 +157,8 @@
   void AdjustPlannedUtilization();
   Capacity CapacityForRoutes() const;
   void FindOverloadedServices(const Capacity& capacity);
+  // Recomputes the admitted fractions for the present averages.
+  void PlanRoutes(const Capacity& capacity);
   // Fractions of the routes in `order`, and the lower bound that holds for all
   // of them.
   struct Plan {
@@ -160,6 +177,7 @@
   std::map<std::string, std::map<std::string, RouteDemand>> last_counts;
   std::map<std::string, Service, std::less<>> services;
   Instant updated_at;
+  Instant followed_at;
 };
 
 }  // namespace lycheewell::core::overload
--- a/packages/core/include/lycheewell/core/routing/target_selector.h
+++ b/packages/core/include/lycheewell/core/routing/target_selector.h
@@ -116,6 +116,10 @@
   // that rate.
   std::map<std::string, double, std::less<>> SlotsByService() const;
 
+  // Time in which the targets of a service work off the requests that wait for
+  // them, by service, as last reported.
+  std::map<std::string, Duration, std::less<>> WaitByService() const;
+
   // Counts the targets of the service that accept work, reachable or not.
   std::size_t CountAcceptingTargets(std::string_view service) const;
 
--- a/packages/core/src/overload/demand_model.cpp
+++ b/packages/core/src/overload/demand_model.cpp
@@ -4,6 +4,8 @@
 #include <utility>
 #include <vector>
 
+#include "lycheewell/core/overload/entry_brake.h"
+
 namespace lycheewell::core::overload {
 namespace {
 
@@ -189,7 +191,7 @@
     if (service.unmet_fraction > kHighUnmetFraction) {
       service.planned_utilization *= kPlannedUtilizationDecrease;
     } else if (service.unmet_fraction < kLowUnmetFraction &&
-               service.is_overloaded) {
+               service.is_overloaded && service.brake_factor >= 1) {
       service.planned_utilization *= kPlannedUtilizationIncrease;
     }
     service.planned_utilization =
@@ -203,7 +205,12 @@
 DemandModel::Capacity DemandModel::CapacityForRoutes() const {
   Capacity capacity;
   for (const auto& [name, service] : this->services) {
-    capacity[name] = service.slots * service.planned_utilization;
+    double slots = service.slots * service.planned_utilization;
+    if (service.brake_factor < 1) {
+      // Its queues grow although the admitted requests should fit.
+      slots = std::min(slots, service.slots_entered) * service.brake_factor;
+    }
+    capacity[name] = slots;
   }
   for (const auto& [name, route] : this->routes) {
     if (route.entered_rate >= kMinEnteredRate) {
@@ -221,12 +228,15 @@
 
 void DemandModel::FindOverloadedServices(const Capacity& capacity) {
   std::map<std::string_view, double> offered;
+  std::map<std::string_view, double> entered;
   for (const auto& [name, route] : this->routes) {
     for (const auto& [service, demand] : route.slot_demand) {
       offered[service] += demand * route.offered_rate;
+      entered[service] += demand * route.entered_rate;
     }
   }
   for (auto& [name, service] : this->services) {
+    service.slots_entered = entered[name];
     service.is_overloaded = offered[name] > capacity.find(name)->second;
   }
 }
@@ -254,8 +264,39 @@
   this->AdjustPlannedUtilization();
   this->UpdateAverages(std::max(0.1, Seconds(now - this->updated_at)));
   this->updated_at = now;
-  Capacity capacity = this->CapacityForRoutes();
+  const Capacity capacity = this->CapacityForRoutes();
   this->FindOverloadedServices(capacity);
+  this->PlanRoutes(capacity);
+}
+
+bool DemandModel::IsFollowDue(Instant now) const {
+  return now - this->followed_at >= kBrakePeriod;
+}
+
+void DemandModel::FollowQueues(
+    const std::map<std::string, Duration, std::less<>>& waits, Instant now) {
+  this->followed_at = now;
+  bool has_changed = false;
+  for (auto& [name, service] : this->services) {
+    const auto wait = waits.find(name);
+    const double factor = wait == waits.end() ? 1 : BrakeFactor(wait->second);
+    has_changed = has_changed || factor < 1 || service.brake_factor < 1;
+    service.brake_factor = factor;
+  }
+  if (has_changed) {
+    this->PlanRoutes(this->CapacityForRoutes());
+  }
+}
+
+double DemandModel::lowest_brake_factor() const {
+  double lowest = 1;
+  for (const auto& [name, service] : this->services) {
+    lowest = std::min(lowest, service.brake_factor);
+  }
+  return lowest;
+}
+
+void DemandModel::PlanRoutes(const Capacity& capacity) {
   std::vector<Route*> order;
   for (auto& [name, route] : this->routes) {
     if (route.entered_rate >= kMinEnteredRate) {
--- a/packages/core/src/routing/target_selector.cpp
+++ b/packages/core/src/routing/target_selector.cpp
@@ -294,6 +294,25 @@
                      });
 }
 
+std::map<std::string, Duration, std::less<>> TargetSelector::WaitByService()
+    const {
+  std::map<std::string, std::pair<double, double>> sums;  // work, slots
+  for (const auto& [member, entry] : this->entries) {
+    if (IsEligible(entry)) {
+      auto& [work_ns, slots] = sums[entry.target.service];
+      work_ns += entry.load.waiting *
+                 static_cast<double>(entry.load.mean_work.count());
+      slots += PlannedSlots(entry);
+    }
+  }
+  std::map<std::string, Duration, std::less<>> waits;
+  for (const auto& [service, sum] : sums) {
+    waits[service] = Duration(
+        static_cast<Duration::rep>(sum.first / std::max(1.0, sum.second)));
+  }
+  return waits;
+}
+
 std::size_t TargetSelector::CountAcceptingTargets(
     std::string_view service) const {
   const auto members = this->members_by_service.find(service);
--- a/packages/daemon/include/lycheewell/daemon/events/event_catalogue.h
+++ b/packages/daemon/include/lycheewell/daemon/events/event_catalogue.h
@@ -43,6 +43,7 @@
   kCallArrivedLate = 2110,
   kCallWaited = 2114,
   kAccountCut = 2115,
+  kEntryBraked = 2116,
 
   kLogUnreachable = 3001,
   kLogReachable = 3002,
--- a/packages/daemon/src/events/event_catalogue.cpp
+++ b/packages/daemon/src/events/event_catalogue.cpp
@@ -35,6 +35,7 @@
       {Event::kCallArrivedLate, Level::kInfo, "call-arrived-late"},
       {Event::kCallWaited, Level::kInfo, "call-waited"},
       {Event::kAccountCut, Level::kInfo, "account-cut"},
+      {Event::kEntryBraked, Level::kInfo, "entry-braked"},
       {Event::kLogUnreachable, Level::kWarn, "log-unreachable"},
       {Event::kLogReachable, Level::kInfo, "log-reachable"},
       {Event::kRecordApplied, Level::kInfo, "record-applied"},
--- a/packages/sidecar/include/lycheewell/sidecar/requests/frontend.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/frontend.h
@@ -102,6 +102,8 @@
   static core::Duration TimeLimitOf(const ClientRequest& request,
                                     const core::manifest::Route* route);
   void Admit(const PendingPointer& pending);
+  // Lets the admitted fractions follow demand and queues.
+  void UpdateDemand(core::Instant now);
   // Logs the admitted fractions of routes that have changed noticeably.
   void LogAdmittedFractions();
   // Returns the client request that caused a call made by the target beside
@@ -152,6 +154,7 @@
       account_turns;
   std::map<std::string, EntryCounts> counts_by_route;
   std::map<std::string, double> logged_fractions;  // by route
+  double logged_brake_factor = 1;
   core::Instant starved_call_at;
   core::Instant failed_call_at;
   std::map<std::string, core::retry::WindowBudget> budgets;
--- a/packages/sidecar/include/lycheewell/sidecar/settings.h
+++ b/packages/sidecar/include/lycheewell/sidecar/settings.h
@@ -35,6 +35,8 @@
 struct AdmissionSettings {
   // Calls of running requests wait for as long as their callers do.
   bool patient_calls = false;
+  // The entry follows the queues of the targets, not only the demand.
+  bool fast_entry = false;
   // Client accounts share the room of a route by their rates.
   bool account_turns = false;
 
--- a/packages/sidecar/src/requests/frontend.cpp
+++ b/packages/sidecar/src/requests/frontend.cpp
@@ -212,14 +212,30 @@
       this->random);
 }
 
-bool Frontend::AdmitByDemand(const PendingPointer& pending) {
-  const Route& route = *pending->route;
-  const core::Instant now = Now();
+void Frontend::UpdateDemand(core::Instant now) {
   if (this->demand_model.IsUpdateDue(now)) {
     this->demand_model.SetSlots(this->targets.SlotsByService());
     this->demand_model.Update(now);
     this->LogAdmittedFractions();
   }
+  if (!this->options.settings.admission.fast_entry ||
+      !this->demand_model.IsFollowDue(now)) {
+    return;
+  }
+  this->demand_model.FollowQueues(this->targets.WaitByService(), now);
+  const double factor = this->demand_model.lowest_brake_factor();
+  if (std::abs(factor - this->logged_brake_factor) >=
+          kMinLoggedFractionChange ||
+      (factor == 1 && this->logged_brake_factor < 1)) {
+    this->logged_brake_factor = factor;
+    this->log.Write(Event::kEntryBraked, {{"factor", std::to_string(factor)}});
+  }
+}
+
+bool Frontend::AdmitByDemand(const PendingPointer& pending) {
+  const Route& route = *pending->route;
+  const core::Instant now = Now();
+  this->UpdateDemand(now);
   EntryCounts& counts = this->counts_by_route[route.name];
   ++counts.offered;
   const bool is_granted = this->demand_model.Admit(route.name, route.priority);
--- a/packages/sidecar/src/settings.cpp
+++ b/packages/sidecar/src/settings.cpp
@@ -226,6 +226,7 @@
                                                defaults.account_window)},
       .admission = {
           .patient_calls = reader.Switch({"admission", "patient_calls"}),
+          .fast_entry = reader.Switch({"admission", "fast_entry"}),
           .account_turns = reader.Switch({"admission", "account_turns"})}};
   if (settings.bounds.manifest_adoption < kMinManifestBound) {
     problems.push_back(
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -852,6 +852,8 @@
          << static_cast<double>(load.mean_work_us()) / 1e6
          << "\nlycheewell_target_failing_part "
          << load.failing_permille() / 1000.0 << "\n";
+    text << "lycheewell_entry_brake "
+         << this->front.demand().lowest_brake_factor() << "\n";
     for (const auto& decision : this->front.demand().Decisions()) {
       text << "lycheewell_entry_part{route=\"" << decision.route << "\"} "
            << decision.admitted_fraction << "\n";
--- a/tests/harness/sidecar_vm.cpp
+++ b/tests/harness/sidecar_vm.cpp
@@ -173,7 +173,8 @@
                                      : this->base_port + 4)
       << R"(,"metrics_port":)" << this->base_port + 5
       << R"(,"store":{"address":")" << LoopbackAddress(this->store_port)
-      << R"("},"admission":{"patient_calls":true,"account_turns":true},)"
+      << R"("},"admission":{"patient_calls":true,"account_turns":true,)"
+      << R"("fast_entry":true},)"
       << R"("bounds":{}}})";
   this->process.emplace(
       std::vector<std::string>{std::string(LYCHEEWELL_BIN_DIR) + "/lycheewelld",
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -108,7 +108,8 @@
       << base + kLinks << R"(,"advertised_links_port":)" << base + kLinksProxy
       << R"(,"metrics_port":)" << base + kMetrics << R"(,"store":{"address":")"
       << LoopbackAddress(base + kStoreProxy)
-      << R"("},"admission":{"patient_calls":true,"account_turns":true},)"
+      << R"("},"admission":{"patient_calls":true,"account_turns":true,)"
+      << R"("fast_entry":true},)"
       << R"("bounds":{}}})";
   this->fleet.at(static_cast<std::size_t>(number))->process =
       std::make_unique<harness::Process>(
