Refused requests are told spread times to come back, and go first then (admission.returns)

Cause: all requests without room are told the same part of the latency target, so those refused together return together, and one that waited has no better chance than one that repeats at once. Change: the time is as late as the answer is usually still in time (a third of the client's time at most), spread over half of it; a bounded table by fingerprint lets those that come back as told go first, within a third of the room. Holds at the daemon that refused.

--- a/packages/core/include/lycheewell/core/overload/account_turns.h
+++ b/packages/core/include/lycheewell/core/overload/account_turns.h
@@ -18,6 +18,8 @@
   double admitted_fraction = 1;
   // Whether the admitted fraction alone would admit this request.
   bool is_granted = true;
+  // A granted request that is admitted whatever its account has had.
+  bool goes_first = false;
 
   bool operator==(const AccountOffer&) const = default;
 };
--- a/packages/core/include/lycheewell/core/overload/demand_model.h
+++ b/packages/core/include/lycheewell/core/overload/demand_model.h
@@ -82,8 +82,9 @@
                     Instant now);
 
   // Whether to admit a request of `route`. Lower values of `priority` are more
-  // important.
-  bool Admit(const std::string& route, int priority);
+  // important. A request that `goes_first` is admitted ahead of its time, and
+  // later ones make up for it.
+  bool Admit(const std::string& route, int priority, bool goes_first = false);
 
   // Queries.
 
--- a/packages/core/src/overload/account_turns.cpp
+++ b/packages/core/src/overload/account_turns.cpp
@@ -112,6 +112,10 @@
     return AccountVerdict::kAdmit;
   }
   this->budget += offer.is_granted ? 1 : 0;
+  if (offer.is_granted && offer.goes_first) {
+    this->budget -= 1;
+    return AccountVerdict::kAdmit;
+  }
   const double part = PartOf(account, this->level);
   account.credit = std::min(kMaxCredit, account.credit + part);
   if (account.credit >= 1 &&
--- a/packages/core/src/overload/demand_model.cpp
+++ b/packages/core/src/overload/demand_model.cpp
@@ -64,6 +64,9 @@
 constexpr double kMaxChangeFactor = 2.0;
 constexpr double kMaxChangeStep = 0.1;
 
+// Requests of a route that one daemon may admit ahead of their time.
+constexpr double kMaxAdmittedAhead = 5;
+
 double Seconds(Duration duration) {
   return std::chrono::duration<double>(duration).count();
 }
@@ -361,7 +364,8 @@
   return plan;
 }
 
-bool DemandModel::Admit(const std::string& route, int priority) {
+bool DemandModel::Admit(const std::string& route, int priority,
+                        bool goes_first) {
   const auto found = this->routes.find(route);
   if (found == this->routes.end()) {
     return true;
@@ -372,7 +376,7 @@
     return true;
   }
   entry.credit += entry.admitted_fraction;
-  if (entry.credit < 1) {
+  if (entry.credit < (goes_first ? -kMaxAdmittedAhead : 1)) {
     return false;
   }
   entry.credit -= 1;
--- a/packages/daemon/include/lycheewell/daemon/events/event_catalogue.h
+++ b/packages/daemon/include/lycheewell/daemon/events/event_catalogue.h
@@ -44,6 +44,7 @@
   kCallWaited = 2114,
   kAccountCut = 2115,
   kEntryBraked = 2116,
+  kReturnKept = 2117,
 
   kLogUnreachable = 3001,
   kLogReachable = 3002,
--- a/packages/daemon/src/events/event_catalogue.cpp
+++ b/packages/daemon/src/events/event_catalogue.cpp
@@ -36,6 +36,7 @@
       {Event::kCallWaited, Level::kInfo, "call-waited"},
       {Event::kAccountCut, Level::kInfo, "account-cut"},
       {Event::kEntryBraked, Level::kInfo, "entry-braked"},
+      {Event::kReturnKept, Level::kInfo, "return-kept"},
       {Event::kLogUnreachable, Level::kWarn, "log-unreachable"},
       {Event::kLogReachable, Level::kInfo, "log-reachable"},
       {Event::kRecordApplied, Level::kInfo, "record-applied"},
--- a/packages/sidecar/include/lycheewell/sidecar/requests/frontend.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/frontend.h
@@ -15,6 +15,7 @@
 
 #include "lycheewell/core/overload/account_turns.h"
 #include "lycheewell/core/overload/demand_model.h"
+#include "lycheewell/core/overload/return_promises.h"
 #include "lycheewell/core/retry/window_budget.h"
 #include "lycheewell/core/routing/route_table.h"
 #include "lycheewell/core/routing/target_selector.h"
@@ -113,7 +114,14 @@
   // services, and counts it.
   bool AdmitByDemand(const PendingPointer& pending);
   // Decides by the account which of a route's requests enter.
-  bool AdmitByAccount(const PendingPointer& pending, bool is_granted);
+  bool AdmitByAccount(const PendingPointer& pending, bool is_granted,
+                      bool goes_first);
+  // Whether a request that was refused has come back as told and goes first.
+  bool TakeReturn(const PendingPointer& pending, core::Instant now);
+  // Retry-After of a request without room: the fraction of its latency target,
+  // or a time that is kept for it.
+  core::Duration ReturnAfter(const PendingPointer& pending, double fraction);
+  void SetFingerprint(const PendingPointer& pending);
   void Dispatch(const PendingPointer& pending);
   std::optional<core::routing::Choice> ChooseTarget(
       const PendingPointer& pending, core::Instant now);
@@ -152,6 +160,9 @@
   // By route and priority of the request.
   std::map<std::pair<std::string, int>, core::overload::AccountTurns>
       account_turns;
+  std::map<std::string, core::overload::ReturnPromises>
+      return_promises;                                 // by route
+  std::map<std::string, core::Duration> answer_times;  // by route
   std::map<std::string, EntryCounts> counts_by_route;
   std::map<std::string, double> logged_fractions;  // by route
   double logged_brake_factor = 1;
--- a/packages/sidecar/include/lycheewell/sidecar/settings.h
+++ b/packages/sidecar/include/lycheewell/sidecar/settings.h
@@ -39,6 +39,9 @@
   bool fast_entry = false;
   // Client accounts share the room of a route by their rates.
   bool account_turns = false;
+  // Refused requests are told spread times, and go first when they come back
+  // then.
+  bool returns = false;
 
   bool operator==(const AdmissionSettings&) const = default;
 };
--- a/packages/sidecar/src/requests/frontend.cpp
+++ b/packages/sidecar/src/requests/frontend.cpp
@@ -59,6 +59,10 @@
 // already run go before all of them.
 constexpr int kClientRequestRankBase = 1 << 16;
 
+// Weight of the moving average of a route's time to answer: about this many
+// recent requests count.
+constexpr int kAnswerTimeRequests = 20;
+
 constexpr std::string_view kNoSlotExpected = "no slot expected in time";
 
 std::string_view PathOf(std::string_view path_and_query) {
@@ -238,17 +242,71 @@
   this->UpdateDemand(now);
   EntryCounts& counts = this->counts_by_route[route.name];
   ++counts.offered;
-  const bool is_granted = this->demand_model.Admit(route.name, route.priority);
+  const bool goes_first = this->options.settings.admission.returns &&
+                          this->TakeReturn(pending, now);
+  const bool is_granted =
+      this->demand_model.Admit(route.name, route.priority, goes_first);
   if (!(this->options.settings.admission.account_turns
-            ? this->AdmitByAccount(pending, is_granted)
+            ? this->AdmitByAccount(pending, is_granted, goes_first)
             : is_granted)) {
     return false;
   }
   ++counts.entered;
+  if (const auto promises = this->return_promises.find(route.name);
+      promises != this->return_promises.end()) {
+    promises->second.RecordAdmitted();
+  }
   return true;
 }
 
-bool Frontend::AdmitByAccount(const PendingPointer& pending, bool is_granted) {
+void Frontend::SetFingerprint(const PendingPointer& pending) {
+  if (pending->fingerprint.empty()) {
+    pending->fingerprint = core::quarantine::FingerprintOf(
+        pending->account == nullptr ? "" : pending->account->name,
+        pending->request.method, pending->request.host,
+        pending->request.path_and_query, pending->exchange->request().body());
+  }
+}
+
+bool Frontend::TakeReturn(const PendingPointer& pending, core::Instant now) {
+  const auto promises = this->return_promises.find(pending->route->name);
+  if (promises == this->return_promises.end()) {
+    return false;
+  }
+  this->SetFingerprint(pending);
+  if (!promises->second.TakeIfKept(pending->fingerprint, now)) {
+    return false;
+  }
+  this->options.counters.Count("returns", "as told");
+  if (this->log.WouldWrite(Event::kReturnKept)) {
+    this->log.Write(Event::kReturnKept, {{"request", pending->request.id},
+                                         {"route", pending->route->name}});
+  }
+  return true;
+}
+
+core::Duration Frontend::ReturnAfter(const PendingPointer& pending,
+                                     double fraction) {
+  const Route& route = *pending->route;
+  if (!this->options.settings.admission.returns ||
+      pending->account == nullptr) {
+    return FractionOfLatencyTarget(route, fraction);
+  }
+  const core::Instant now = Now();
+  const core::Duration wait = std::clamp<core::Duration>(
+      core::overload::ReturnTime(
+          {.target_left = pending->soft_deadline - now,
+           .time_left = pending->deadline - now,
+           .answer_time = this->answer_times[route.name]},
+          this->random),
+      kMinRetryAfter, kMaxRetryAfter);
+  this->SetFingerprint(pending);
+  this->return_promises[route.name].Add(pending->fingerprint, now + wait);
+  return wait;
+}
+
+bool Frontend::AdmitByAccount(const PendingPointer& pending, bool is_granted,
+                              bool goes_first) {
   using core::overload::AccountVerdict;
   const Route& route = *pending->route;
   const core::manifest::Account& account = *pending->account;
@@ -258,7 +316,8 @@
       {.account = account.name,
        .weight = account.rate_per_second,
        .admitted_fraction = this->demand_model.admitted_fraction(route.name),
-       .is_granted = is_granted},
+       .is_granted = is_granted,
+       .goes_first = goes_first},
       Now(), this->random);
   if (verdict == AccountVerdict::kAdmit) {
     return true;
@@ -329,7 +388,7 @@
     pending->origin = route.name;
     if (!this->AdmitByDemand(pending)) {
       this->Refuse(pending, 503, "its calls would find no room",
-                   FractionOfLatencyTarget(route, kNotAdmittedRetryFraction));
+                   this->ReturnAfter(pending, kNotAdmittedRetryFraction));
       return;
     }
   } else if (const auto origin = this->OriginOf(pending)) {
@@ -344,10 +403,7 @@
     }
   }
   pending->rank = rank;
-  pending->fingerprint = core::quarantine::FingerprintOf(
-      pending->account == nullptr ? "" : pending->account->name,
-      pending->request.method, pending->request.host,
-      pending->request.path_and_query, pending->exchange->request().body());
+  this->SetFingerprint(pending);
   if (this->RefuseQuarantined(pending)) {
     return;
   }
@@ -427,8 +483,7 @@
       now + choice->expected_wait > pending->soft_deadline) {
     this->Refuse(pending, 503, kNoSlotExpected,
                  std::max(choice->expected_wait,
-                          FractionOfLatencyTarget(*pending->route,
-                                                  kNoSlotRetryFraction)));
+                          this->ReturnAfter(pending, kNoSlotRetryFraction)));
     return;
   }
   this->SendTo(pending, *choice);
@@ -648,6 +703,13 @@
     }
     this->options.counters.Count("requests", "answered");
     this->options.counters.Observe("request", now - pending->arrived_at);
+    if (pending->account != nullptr) {
+      core::Duration& mean = this->answer_times[pending->route->name];
+      const core::Duration taken = now - pending->arrived_at;
+      mean = mean == core::Duration::zero()
+                 ? taken
+                 : mean + (taken - mean) / kAnswerTimeRequests;
+    }
     this->RecordFailedCall(pending, reply.status);
     const auto exchange = pending->exchange;
     this->Close(pending);
@@ -724,8 +786,7 @@
     this->Refuse(pending, 503, reply.reason,
                  std::max(reply.reason == kOverLimit ? core::Duration::zero()
                                                      : reply.retry_after,
-                          FractionOfLatencyTarget(*pending->route,
-                                                  kNoSlotRetryFraction)));
+                          this->ReturnAfter(pending, kNoSlotRetryFraction)));
     return;
   }
   this->log.Write(Event::kCallRepeated, {{"request", pending->request.id},
--- a/packages/sidecar/src/settings.cpp
+++ b/packages/sidecar/src/settings.cpp
@@ -227,7 +227,8 @@
       .admission = {
           .patient_calls = reader.Switch({"admission", "patient_calls"}),
           .fast_entry = reader.Switch({"admission", "fast_entry"}),
-          .account_turns = reader.Switch({"admission", "account_turns"})}};
+          .account_turns = reader.Switch({"admission", "account_turns"}),
+          .returns = reader.Switch({"admission", "returns"})}};
   if (settings.bounds.manifest_adoption < kMinManifestBound) {
     problems.push_back(
         {"sidecar.bounds.manifest_adoption", "is shorter than 100ms"});
--- a/tests/harness/sidecar_vm.cpp
+++ b/tests/harness/sidecar_vm.cpp
@@ -174,7 +174,7 @@
       << R"(,"metrics_port":)" << this->base_port + 5
       << R"(,"store":{"address":")" << LoopbackAddress(this->store_port)
       << R"("},"admission":{"patient_calls":true,"account_turns":true,)"
-      << R"("fast_entry":true},)"
+      << R"("fast_entry":true,"returns":true},)"
       << R"("bounds":{}}})";
   this->process.emplace(
       std::vector<std::string>{std::string(LYCHEEWELL_BIN_DIR) + "/lycheewelld",
--- a/tests/platform/adapter_test.cpp
+++ b/tests/platform/adapter_test.cpp
@@ -300,6 +300,7 @@
         std::chrono::seconds(4));
   CHECK(std::get<sidecar::Settings>(parsed).admission.patient_calls);
   CHECK(std::get<sidecar::Settings>(parsed).admission.account_turns);
+  CHECK(std::get<sidecar::Settings>(parsed).admission.returns);
   CHECK(std::get<sidecar::Settings>(parsed).admission.fast_entry);
 
   SECTION("an admission switch is off when left out, and true or false") {
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -109,7 +109,7 @@
       << R"(,"metrics_port":)" << base + kMetrics << R"(,"store":{"address":")"
       << LoopbackAddress(base + kStoreProxy)
       << R"("},"admission":{"patient_calls":true,"account_turns":true,)"
-      << R"("fast_entry":true},)"
+      << R"("fast_entry":true,"returns":true},)"
       << R"("bounds":{}}})";
   this->fleet.at(static_cast<std::size_t>(number))->process =
       std::make_unique<harness::Process>(
