--- a/packages/daemon/include/lycheewell/daemon/events/event_catalogue.h
+++ b/packages/daemon/include/lycheewell/daemon/events/event_catalogue.h
@@ -44,6 +44,8 @@
   kCallArrivedLate = 2110,
   kCallWaited = 2114,
   kAccountCut = 2115,
+  kEntryBraked = 2116,
+  kReturnKept = 2117,
 
   kLogUnreachable = 3001,
   kLogReachable = 3002,
--- a/packages/sidecar/include/lycheewell/sidecar/requests/frontend.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/frontend.h
@@ -15,6 +15,7 @@
 
 #include "lycheewell/core/overload/account_turns.h"
 #include "lycheewell/core/overload/demand_model.h"
+#include "lycheewell/core/overload/return_promises.h"
 #include "lycheewell/core/retry/window_budget.h"
 #include "lycheewell/core/routing/route_table.h"
 #include "lycheewell/core/routing/target_selector.h"
@@ -102,6 +103,8 @@
   static core::Duration TimeLimitOf(const ClientRequest& request,
                                     const core::manifest::Route* route);
   void Admit(const PendingPointer& pending);
+  // Lets the admitted fractions follow demand and queues.
+  void UpdateDemand(core::Instant now);
   // Logs the admitted fractions of routes that have changed noticeably.
   void LogAdmittedFractions();
   // Returns the client request that caused a call made by the target beside
@@ -111,7 +114,14 @@
   // services, and counts it.
   bool AdmitByDemand(const PendingPointer& pending);
   // Decides by the account which of a route's requests enter.
-  bool AdmitByAccount(const PendingPointer& pending, bool is_granted);
+  bool AdmitByAccount(const PendingPointer& pending, bool is_granted,
+                      bool goes_first);
+  // Whether a request that was refused has come back as told and goes first.
+  bool TakeReturn(const PendingPointer& pending, core::Instant now);
+  // Retry-After of a request without room: the fraction of its latency target,
+  // or a time that is kept for it.
+  core::Duration ReturnAfter(const PendingPointer& pending, double fraction);
+  void SetFingerprint(const PendingPointer& pending);
   void Dispatch(const PendingPointer& pending);
   std::optional<core::routing::Choice> ChooseTarget(
       const PendingPointer& pending, core::Instant now);
@@ -150,8 +160,12 @@
   // By route and priority of the request.
   std::map<std::pair<std::string, int>, core::overload::AccountTurns>
       account_turns;
+  std::map<std::string, core::overload::ReturnPromises>
+      return_promises;                                 // by route
+  std::map<std::string, core::Duration> answer_times;  // by route
   std::map<std::string, EntryCounts> counts_by_route;
   std::map<std::string, double> logged_fractions;  // by route
+  double logged_brake_factor = 1;
   core::Instant starved_call_at;
   core::Instant failed_call_at;
   std::map<std::string, core::retry::WindowBudget> budgets;
--- a/packages/sidecar/include/lycheewell/sidecar/settings.h
+++ b/packages/sidecar/include/lycheewell/sidecar/settings.h
@@ -49,8 +49,13 @@
 struct AdmissionSettings {
   // Calls of running requests wait for as long as their callers do.
   bool patient_calls = false;
+  // The entry follows the queues of the targets, not only the demand.
+  bool fast_entry = false;
   // Client accounts share the room of a route by their rates.
   bool account_turns = false;
+  // Refused requests are told spread times, and go first when they come back
+  // then.
+  bool returns = false;
 
   bool operator==(const AdmissionSettings&) const = default;
 };
--- a/packages/sidecar/src/settings.cpp
+++ b/packages/sidecar/src/settings.cpp
@@ -260,7 +260,9 @@
                                            defaults.evacuation)},
       .admission = {
           .patient_calls = reader.Switch({"admission", "patient_calls"}),
-          .account_turns = reader.Switch({"admission", "account_turns"})}};
+          .fast_entry = reader.Switch({"admission", "fast_entry"}),
+          .account_turns = reader.Switch({"admission", "account_turns"}),
+          .returns = reader.Switch({"admission", "returns"})}};
   if (settings.limits.held_bytes < kMinHeldBytes) {
     problems.push_back({"sidecar.limits.held_bytes", "is less than 1048576"});
   }
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -939,6 +939,8 @@
          << "\nlycheewell_targets_evacuated "
          << this->front.selector().CountEvacuatedTargets() << "\n";
     this->evacuations.RenderMetrics(text);
+    text << "lycheewell_entry_brake "
+         << this->front.demand().lowest_brake_factor() << "\n";
     for (const auto& decision : this->front.demand().Decisions()) {
       text << "lycheewell_entry_part{route=\"" << decision.route << "\"} "
            << decision.admitted_fraction << "\n";
--- a/tests/platform/adapter_test.cpp
+++ b/tests/platform/adapter_test.cpp
@@ -389,6 +389,8 @@
                                            {"kochi-b", "kochi"}});
   CHECK(std::get<sidecar::Settings>(parsed).admission.patient_calls);
   CHECK(std::get<sidecar::Settings>(parsed).admission.account_turns);
+  CHECK(std::get<sidecar::Settings>(parsed).admission.returns);
+  CHECK(std::get<sidecar::Settings>(parsed).admission.fast_entry);
 
   SECTION("an admission switch is off when left out, and true or false") {
     const std::size_t at = text.find("\"patient_calls\": true");
