Route and admit requests by expected work

Cause: a target had one mean work over all its routes, and requests were counted: a lookup of 15 ms and an entry of 320 ms weighed the same, and differences of 5 ms moved requests to another data centre.

Change: senders learn the work of requests by route and class, apart from the speed of targets, which the daemon beside a target learns. The gate's expected wait follows from the work ahead, and urgent requests go first within a rank. A target is chosen by expected completion; the cost of a hop grows with the latency target. Switch: sidecar.routing.by_cost.

--- a/packages/core/include/lycheewell/core/overload/slot_gate.h
+++ b/packages/core/include/lycheewell/core/overload/slot_gate.h
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "lycheewell/core/overload/outstanding_work.h"
 #include "lycheewell/core/types.h"
 
 namespace lycheewell::core::overload {
@@ -21,6 +22,10 @@
   Instant arrived_at;
   // The request is refused if it has no slot by this time.
   Instant latest_start;
+  // Time for which it is expected to hold its slot, and the standard deviation;
+  // zero: not known.
+  Duration expected_work{};
+  Duration work_spread{};
 
   bool operator==(const SlotRequest&) const = default;
 };
@@ -43,7 +48,8 @@
 // kHighestRankInterval-th free slot goes to the highest waiting rank. Under
 // overload no rank starves, and requests that need few slots get them. The mean
 // work is estimated from completed requests, so a slow target shows as a longer
-// expected wait.
+// expected wait. Once WeighByWork() has been called, the expected wait follows
+// from the expected work of the requests that run and of those ahead.
 class SlotGate {
  public:
   struct Options {
@@ -55,14 +61,16 @@
   // Changes the number of slots. Running requests keep theirs.
   void Resize(const Options& options);
 
+  void WeighByWork() { this->weighs_work = true; }
+
   // Runs, queues or refuses `request`. It is refused if its expected wait ends
   // after `latest_start`. That wait does not count less important requests.
   // Dispatch() refuses those that are no longer expected to start in time.
   SlotDecision Offer(const SlotRequest& request, Instant now);
 
-  // Frees the slot of a request that held it for `work`. `is_sample` says
-  // whether this time represents the speed of the target.
-  void Finish(Duration work, bool is_sample);
+  // Frees the slot of the request `ticket`, which held it for `work`.
+  // `is_sample` says whether this time represents the speed of the target.
+  void Finish(std::uint64_t ticket, Duration work, bool is_sample);
 
   // Assigns free slots to waiting requests, and refuses those whose
   // `latest_start` has passed or that are not expected to start by then.
@@ -81,7 +89,14 @@
   std::size_t waiting() const { return this->by_ticket.size(); }
 
   // Expected wait of a new request of `rank`.
-  Duration ExpectedWait(int rank) const;
+  Duration ExpectedWait(int rank, Instant latest_start, Instant now) const;
+
+  // Expected waits of a request ahead of all that wait, and behind them.
+  Duration ExpectedWaitOfFirst(Instant now) const;
+  Duration ExpectedWaitOfLast(Instant now) const;
+
+  // Expected work of all requests that run and wait, less what is done.
+  Duration RemainingWork(Instant now) const;
 
   // Moving average of the time for which a request holds a slot.
   Duration mean_work() const;
@@ -91,23 +106,42 @@
   Instant next_expiry() const;
 
  private:
-  // Waiting requests of one rank by arrival number.
-  using Queue = std::map<std::uint64_t, SlotRequest>;
+  // Waiting requests of one rank.
+  // Latest start, or nothing where the order of arrival counts alone, and
+  // arrival number.
+  using Turn = std::pair<Instant, std::uint64_t>;
+  struct Queue {
+    std::map<Turn, SlotRequest> requests;
+    double work_ns = 0;  // sum of their expected work
+  };
+  using Position = std::map<Turn, SlotRequest>::iterator;
+  // Requests ahead of another one.
+  struct Ahead {
+    std::size_t requests = 0;
+    double work_ns = 0;
+  };
 
   // Mean interval between releases of slots while all are busy.
   double ReleaseIntervalNs() const;
-  // Expected wait of a request behind `ahead_in_rank` others of its rank.
-  Duration ExpectedWaitBehind(int rank, std::size_t ahead_in_rank) const;
+  // Expected wait of a request behind `ahead_in_rank` of its rank, where the
+  // slots are held for `mean_run` on average.
+  Duration ExpectedWaitBehind(int rank, const Ahead& ahead_in_rank,
+                              Duration mean_run) const;
+  Duration MeanRun(Instant now) const;
+  double ExpectedWorkNs(const SlotRequest& request) const;
+  void Start(const SlotRequest& request, Instant now);
   std::map<int, Queue>::iterator SelectQueue();
-  void Erase(std::map<int, Queue>::iterator queue, Queue::iterator entry);
+  void Erase(std::map<int, Queue>::iterator queue, Position entry);
 
   int slot_count = 1;
+  bool weighs_work = false;
   int busy_slots = 0;
+  OutstandingWork running_work;
   double mean_work_ns = 0;
   std::uint64_t arrivals = 0;
   std::uint64_t selections = 0;
   std::map<int, Queue> queues;  // by rank; no queue is empty
-  std::unordered_map<std::uint64_t, std::pair<int, std::uint64_t>> by_ticket;
+  std::unordered_map<std::uint64_t, std::pair<int, Turn>> by_ticket;
 };
 
 }  // namespace lycheewell::core::overload
--- a/packages/core/include/lycheewell/core/routing/target_selector.h
+++ b/packages/core/include/lycheewell/core/routing/target_selector.h
@@ -28,6 +28,13 @@
   double failed_fraction = 0;
   // Requests per second that the target takes from all daemons together.
   std::optional<double> limit_per_second;
+  // Expected work of all requests that run and wait, less what is done.
+  Duration remaining_work{};
+  // Expected waits of a request ahead of all that wait now, and behind them.
+  Duration first_wait{};
+  Duration last_wait{};
+  // Measured work relative to what senders expected; zero: not known.
+  double slowness = 0;
 
   bool operator==(const TargetLoad&) const = default;
 };
@@ -54,6 +61,14 @@
   bool operator==(const Choice&) const = default;
 };
 
+// What the caller of a request and its target have to expect.
+struct RequestDemand {
+  Duration work{};            // at a target of mean speed; zero: not known
+  Duration latency_target{};  // of the caller; zero: none
+
+  bool operator==(const RequestDemand&) const = default;
+};
+
 // What matters for the choice besides the service.
 struct ChoiceOptions {
   int rank = 0;  // lower ranks are more important
@@ -61,6 +76,9 @@
   // A target without a limit goes before all others: one with a limit has
   // refused the request.
   bool prefers_unlimited = false;
+  // The choice goes by the expected completion of this request. Without it, all
+  // requests of a target count as equally long.
+  std::optional<RequestDemand> demand;
 };
 
 class TargetSelector {
@@ -80,8 +98,8 @@
   void SetPathDelay(const std::string& member, Duration delay);
 
   // A request sent to the member's target counts as outstanding until
-  // RecordDone.
-  void RecordSent(const std::string& member);
+  // RecordDone. `work` is what it needs at a target of mean speed.
+  void RecordSent(const std::string& member, Duration work = {});
   void RecordDone(const std::string& member);
 
   // The member refused a request and named the expected wait. The wait holds
@@ -110,6 +128,10 @@
   // Service of the member's target; empty when the member is unknown.
   std::string ServiceOf(const std::string& member) const;
 
+  // Slowness of the member's target relative to the mean of its service; 1 if
+  // it is not known.
+  double RelativeSlownessOf(const std::string& member) const;
+
   // Slots of all reachable targets that accept work, by service. Cold targets
   // count in full because their slowness shows in the time that slots are held.
   // A target with a limit counts with the slots that its requests occupy at
@@ -127,6 +149,7 @@
     bool is_reachable = true;
     int outstanding = 0;  // requests from this daemon without an answer yet
     int sent_since_report = 0;
+    double sent_work_ns = 0;  // of the requests sent since the report
     Instant refused_at;
     Duration refused_wait{};
     Duration path_delay{};
@@ -149,9 +172,14 @@
   static double CapacityOf(const Entry& entry, Instant now);
   static Estimate EstimateOf(const Entry& entry, double lowest_mean_work_ns,
                              Instant now);
+  static Estimate EstimateByDemand(const Entry& entry,
+                                   const RequestDemand& demand,
+                                   double mean_slowness, Instant now);
   // Lowest mean work among the members' targets that accept work;
   // Duration::max() when none of them has reported any.
   double LowestMeanWorkNs(const std::set<std::string>& members) const;
+  // Mean over the members' targets that accept work and have reported it.
+  double MeanSlowness(const std::set<std::string>& members) const;
 
   std::map<std::string, Entry> entries;
   std::map<std::string, std::set<std::string>, std::less<>> members_by_service;
--- a/packages/core/src/routing/target_selector.cpp
+++ b/packages/core/src/routing/target_selector.cpp
@@ -10,6 +10,15 @@
 constexpr Duration kSameDataCentreCost = std::chrono::milliseconds(2);
 constexpr Duration kOtherDataCentreCost = std::chrono::milliseconds(5);
 
+// Cost of a hop to another data centre as a fraction of the latency target: a
+// smaller difference is not noticed by the caller. Bounded for callers that
+// accept little or very long times.
+constexpr double kOtherDataCentreFraction = 1.0 / 16;
+constexpr Duration kMaxOtherDataCentreCost = std::chrono::milliseconds(100);
+
+// Latency target of callers that state none.
+constexpr Duration kDefaultLatencyTarget = std::chrono::seconds(1);
+
 // Transfer time of a byte of a body between data centres, at the rate that a
 // busy link leaves for one request (2.5 MB/s).
 constexpr double kOtherDataCentreNsPerByte = 400;
@@ -17,6 +26,15 @@
 // Up to this utilization a target's speed does not depend on its load.
 constexpr double kMaxUncontendedUtilization = 0.6;
 
+// Waiting requests take their turns by rank and urgency, not by arrival: one
+// that would be late behind the others is expected to wait for this part of its
+// slack.
+constexpr double kUrgentSlackFraction = 0.5;
+
+// Part of a request's work that it takes longer at a target whose slots are all
+// busy. It also leaves room for what other daemons send meanwhile.
+constexpr double kContentionAtFullUse = 0.2;
+
 // A failed request costs its caller at least this much waiting time. It affects
 // only the order of the targets: where all of them fail, all get requests.
 constexpr double kFailureCostNs = 500e6;
@@ -51,6 +69,30 @@
 // do not all choose the same target among nearly equal ones.
 constexpr double kMaxJitterNs = 1e6;
 
+double LatencyTargetNs(const RequestDemand& demand) {
+  return static_cast<double>((demand.latency_target > Duration::zero()
+                                  ? demand.latency_target
+                                  : kDefaultLatencyTarget)
+                                 .count());
+}
+
+double HopCostNs(Distance distance, const ChoiceOptions& options) {
+  if (distance == Distance::kSameVm) {
+    return 0;
+  }
+  if (distance == Distance::kSameDataCentre) {
+    return static_cast<double>(kSameDataCentreCost.count());
+  }
+  double hop_ns = static_cast<double>(kOtherDataCentreCost.count());
+  if (options.demand) {
+    hop_ns = std::clamp(
+        kOtherDataCentreFraction * LatencyTargetNs(*options.demand), hop_ns,
+        static_cast<double>(kMaxOtherDataCentreCost.count()));
+  }
+  return hop_ns +
+         kOtherDataCentreNsPerByte * static_cast<double>(options.body_bytes);
+}
+
 }  // namespace
 
 void TargetSelector::Put(const std::string& member, const TargetOptions& target,
@@ -96,6 +138,7 @@
   found->second.load = load;
   found->second.reported_at = now;
   found->second.sent_since_report = 0;
+  found->second.sent_work_ns = 0;
 }
 
 void TargetSelector::SetReachable(const std::string& member,
@@ -110,10 +153,11 @@
   }
 }
 
-void TargetSelector::RecordSent(const std::string& member) {
+void TargetSelector::RecordSent(const std::string& member, Duration work) {
   Entry& entry = this->entries[member];
   ++entry.outstanding;
   ++entry.sent_since_report;
+  entry.sent_work_ns += static_cast<double>(work.count());
 }
 
 void TargetSelector::RecordDone(const std::string& member) {
@@ -215,14 +259,93 @@
       slowness_ns +
       kFailureCostNs *
           std::max(0.0, entry.load.failed_fraction - kToleratedFailedFraction);
-  if (entry.target.distance == Distance::kSameDataCentre) {
-    estimate.cost_ns += static_cast<double>(kSameDataCentreCost.count());
-  } else if (entry.target.distance == Distance::kOtherDataCentre) {
-    estimate.cost_ns += static_cast<double>(kOtherDataCentreCost.count());
+  return estimate;
+}
+
+TargetSelector::Estimate TargetSelector::EstimateByDemand(
+    const Entry& entry, const RequestDemand& demand, double mean_slowness,
+    Instant now) {
+  const TargetLoad& load = entry.load;
+  const double capacity = CapacityOf(entry, now);
+  const double slowness = load.slowness > 0 && mean_slowness > 0
+                              ? load.slowness / mean_slowness
+                              : 1.0;
+  const int reported = load.running + load.waiting;
+  const double requests_at_target = static_cast<double>(
+      std::max(entry.outstanding, reported + entry.sent_since_report));
+  const Duration known_work =
+      demand.work > Duration::zero()
+          ? demand.work
+          : (load.mean_work > Duration::zero() ? load.mean_work
+                                               : kDefaultMeanWork);
+  const double work_ns = slowness * static_cast<double>(known_work.count());
+
+  double wait_ns = 0;
+  const double beyond_slots = requests_at_target + 1 - capacity;
+  if (beyond_slots > 0) {
+    const double slack_ns = LatencyTargetNs(demand) - work_ns;
+    wait_ns = std::min(static_cast<double>(load.last_wait.count()),
+                       std::max(static_cast<double>(load.first_wait.count()),
+                                slack_ns * kUrgentSlackFraction));
+    if (wait_ns == 0) {
+      // Until the first release.
+      const double run_ns =
+          load.running > 0
+              ? static_cast<double>(load.remaining_work.count()) / load.running
+              : work_ns;
+      wait_ns = run_ns / capacity;
+    }
+    const double sent = entry.sent_since_report;
+    if (sent > 0) {
+      const double queued_since = std::min(sent, beyond_slots - 1);
+      wait_ns += entry.sent_work_ns * slowness * queued_since / sent / capacity;
+    }
   }
+  Estimate estimate;
+  estimate.wait = Duration(static_cast<Duration::rep>(wait_ns));
+  if (now - entry.refused_at < kRefusalLifetime) {
+    estimate.wait = std::max(estimate.wait, entry.refused_wait);
+  }
+  estimate.wait += entry.path_delay;
+  const double completion_ns =
+      static_cast<double>(estimate.wait.count()) + work_ns;
+  const double utilization = std::min(1.0, requests_at_target / capacity);
+  estimate.cost_ns =
+      static_cast<double>(estimate.wait.count()) +
+      work_ns * std::min(1.0, completion_ns / LatencyTargetNs(demand)) +
+      work_ns * kContentionAtFullUse *
+          std::max(0.0, utilization - kMaxUncontendedUtilization) /
+          (1 - kMaxUncontendedUtilization) +
+      kFailureCostNs *
+          std::max(0.0, load.failed_fraction - kToleratedFailedFraction);
   return estimate;
 }
 
+double TargetSelector::MeanSlowness(
+    const std::set<std::string>& members) const {
+  double sum = 0;
+  int count = 0;
+  for (const std::string& member : members) {
+    const Entry& entry = this->entries.at(member);
+    if (entry.target.accepts_work && entry.load.slowness > 0) {
+      sum += entry.load.slowness;
+      ++count;
+    }
+  }
+  return count == 0 ? 1.0 : sum / count;
+}
+
+double TargetSelector::RelativeSlownessOf(const std::string& member) const {
+  const auto found = this->entries.find(member);
+  if (found == this->entries.end() || found->second.load.slowness <= 0) {
+    return 1;
+  }
+  return found->second.load.slowness /
+         this->MeanSlowness(
+             this->members_by_service.find(found->second.target.service)
+                 ->second);
+}
+
 double TargetSelector::LowestMeanWorkNs(
     const std::set<std::string>& members) const {
   Duration lowest = Duration::max();
@@ -246,7 +369,10 @@
   double best_cost = 0;
   bool best_is_limited = false;
   std::size_t candidates = 0;
-  const double lowest_mean_work_ns = this->LowestMeanWorkNs(members->second);
+  const double lowest_mean_work_ns =
+      options.demand ? 0 : this->LowestMeanWorkNs(members->second);
+  const double mean_slowness =
+      options.demand ? this->MeanSlowness(members->second) : 1;
   const bool is_exploring = random() % kChoicesPerExploration == 0;
   for (const std::string& member : members->second) {
     Entry& entry = this->entries.at(member);
@@ -256,17 +382,16 @@
       continue;
     }
     ++candidates;
-    const Estimate estimate = EstimateOf(entry, lowest_mean_work_ns, now);
-    const double transfer_ns =
-        entry.target.distance == Distance::kOtherDataCentre
-            ? kOtherDataCentreNsPerByte *
-                  static_cast<double>(options.body_bytes)
-            : 0.0;
+    const Estimate estimate =
+        options.demand
+            ? EstimateByDemand(entry, *options.demand, mean_slowness, now)
+            : EstimateOf(entry, lowest_mean_work_ns, now);
     const double jitter =
         kMaxJitterNs * static_cast<double>(random() % 1024) / 1024.0;
     const double cost =
         is_exploring ? jitter + static_cast<double>(estimate.wait.count())
-                     : estimate.cost_ns + transfer_ns + jitter;
+                     : estimate.cost_ns +
+                           HopCostNs(entry.target.distance, options) + jitter;
     const bool is_limited =
         options.prefers_unlimited && entry.load.limit_per_second.has_value();
     if (!best ||
--- a/packages/daemon/include/lycheewell/daemon/events/event_catalogue.h
+++ b/packages/daemon/include/lycheewell/daemon/events/event_catalogue.h
@@ -41,6 +41,7 @@
   kEntryPartChanged = 2108,
   kCallHeldBack = 2109,
   kCallArrivedLate = 2110,
+  kTargetChosen = 2112,
 
   kLogUnreachable = 3001,
   kLogReachable = 3002,
--- a/packages/daemon/src/events/event_catalogue.cpp
+++ b/packages/daemon/src/events/event_catalogue.cpp
@@ -33,6 +33,7 @@
       {Event::kEntryPartChanged, Level::kInfo, "entry-part-changed"},
       {Event::kCallHeldBack, Level::kWarn, "call-held-back"},
       {Event::kCallArrivedLate, Level::kInfo, "call-arrived-late"},
+      {Event::kTargetChosen, Level::kInfo, "target-chosen"},
       {Event::kLogUnreachable, Level::kWarn, "log-unreachable"},
       {Event::kLogReachable, Level::kInfo, "log-reachable"},
       {Event::kRecordApplied, Level::kInfo, "record-applied"},
--- a/packages/sidecar/include/lycheewell/sidecar/requests/frontend.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/frontend.h
@@ -26,6 +26,7 @@
 #include "lycheewell/sidecar/requests/account_limiter.h"
 #include "lycheewell/sidecar/requests/gate.h"
 #include "lycheewell/sidecar/requests/quarantine.h"
+#include "lycheewell/sidecar/requests/request_costs.h"
 #include "lycheewell/sidecar/settings.h"
 
 namespace lycheewell::sidecar::requests {
@@ -139,6 +140,7 @@
   DecisionLog& log;
   Options options;
   core::routing::TargetSelector targets;
+  RequestCosts costs;
   core::overload::DemandModel demand_model;
   std::map<std::string, EntryCounts> counts_by_route;
   std::map<std::string, double> logged_fractions;  // by route
--- a/packages/sidecar/include/lycheewell/sidecar/requests/gate.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/gate.h
@@ -21,6 +21,8 @@
 #include "lycheewell/core/overload/slot_gate.h"
 #include "lycheewell/core/quarantine/crash_detector.h"
 #include "lycheewell/core/routing/failure_rate.h"
+#include "lycheewell/core/routing/target_speed.h"
+#include "lycheewell/core/routing/work_model.h"
 #include "lycheewell/sidecar/decision_log.h"
 #include "lycheewell/sidecar/hooks.h"
 #include "lycheewell/sidecar/http/client_connection.h"
@@ -51,6 +53,8 @@
   std::string fingerprint;  // see core::quarantine::FingerprintOf
   // The sending daemon knows that it was running when a target crashed.
   bool is_suspect = false;
+  // At a target of mean speed, as the sending daemon expects.
+  core::routing::WorkEstimate expected;
 };
 
 // The client request on whose behalf a target makes a call.
@@ -80,6 +84,8 @@
   // The run failed after a call that the target made got no slot, at the called
   // service or further downstream.
   bool is_starved = false;
+  // Time for which it held its slot; zero if that says nothing about its work.
+  core::Duration work{};
 };
 
 class Gate {
@@ -177,6 +183,8 @@
   };
 
   core::Duration MeanWorkOf(const std::string& route) const;
+  // Expected work of the call at this target; mean zero: not known.
+  core::routing::WorkEstimate ExpectedWorkOf(const GateCall& call) const;
   // Runs, queues or refuses a call by the slots of the target.
   void OfferSlot(Ticket ticket);
   // Offers the call now if it is the only suspect, or else after the others.
@@ -241,6 +249,7 @@
   std::optional<Ticket> suspect;  // the one that has its turn
   std::deque<Ticket> waiting_suspects;
   core::routing::FailureRate failures;
+  core::routing::TargetSpeed speed;
   core::overload::NamedLimit limit;
   // Limits of starts that have not announced themselves yet, as peers remember.
   std::map<std::string, double> recalled_limits;  // by the start's name
--- a/packages/sidecar/include/lycheewell/sidecar/settings.h
+++ b/packages/sidecar/include/lycheewell/sidecar/settings.h
@@ -47,6 +47,9 @@
   // Approximate time between two announcements of a target.
   core::Duration announcement_period = std::chrono::milliseconds(1500);
   BoundSettings bounds;
+  // Requests are routed and admitted by the work that they are expected to
+  // need.
+  bool routes_by_cost = false;
 
   bool operator==(const Settings&) const = default;
 };
--- a/packages/sidecar/src/decision_log.cpp
+++ b/packages/sidecar/src/decision_log.cpp
@@ -20,8 +20,9 @@
 // lines.
 constexpr int kLinesPerSecond = 20;
 
-// Metrics count the answered requests, so the log needs only a few as samples.
-constexpr int kAnsweredLinesPerSecond = 2;
+// Metrics count answered requests and choices, so the log needs only a few of
+// them as samples.
+constexpr int kSampleLinesPerSecond = 2;
 
 // Lines are dropped while the unread output exceeds this size.
 constexpr std::size_t kMaxBufferedBytes = 256 * 1024;
@@ -29,8 +30,9 @@
 constexpr auto kFlushPeriod = std::chrono::milliseconds(250);
 
 int LinesPerSecond(Event event) {
-  return event == Event::kRequestAnswered ? kAnsweredLinesPerSecond
-                                          : kLinesPerSecond;
+  const bool is_sample =
+      event == Event::kRequestAnswered || event == Event::kTargetChosen;
+  return is_sample ? kSampleLinesPerSecond : kLinesPerSecond;
 }
 
 }  // namespace
--- a/packages/sidecar/src/requests/frontend.cpp
+++ b/packages/sidecar/src/requests/frontend.cpp
@@ -75,6 +75,11 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
 }
 
+std::uint64_t Microseconds(core::Duration duration) {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(duration).count());
+}
+
 core::Duration FractionOfLatencyTarget(const Route& route, double fraction) {
   const core::Duration target = route.latency_target > core::Duration::zero()
                                     ? route.latency_target
@@ -121,6 +126,18 @@
   std::uint64_t call_id = 0;
   std::uint64_t link_id = 0;  // 0: the target is beside this daemon
   bool is_closed = false;
+  // Of the current attempt.
+  core::routing::WorkEstimate expected;
+
+  core::routing::WorkFeatures Features() const {
+    return {.service = this->service,
+            .route = this->route->name,
+            .payer = this->account == nullptr
+                         ? std::string_view(this->origin)
+                         : std::string_view(this->account->name),
+            .method = this->request.method,
+            .body_bytes = this->exchange->request().body().size()};
+  }
 };
 
 Frontend::Frontend(TimerQueue& new_timers, DecisionLog& new_log,
@@ -128,6 +145,10 @@
     : timers(new_timers),
       log(new_log),
       options(new_options),
+      costs({.is_enabled = new_options.settings.routes_by_cost,
+             .targets = this->targets,
+             .log = this->log,
+             .counters = new_options.counters}),
       demand_model(Now()),
       generator(std::random_device{}()),
       random([this] { return this->generator(); }) {}
@@ -379,11 +400,14 @@
 
 std::optional<core::routing::Choice> Frontend::ChooseTarget(
     const PendingPointer& pending, core::Instant now) {
+  pending->expected = this->costs.Expect(pending->Features());
   return this->targets.Choose(
       pending->service, pending->excluded, now, this->random,
       {.rank = pending->rank,
        .body_bytes = pending->exchange->request().body().size(),
-       .prefers_unlimited = pending->was_over_limit});
+       .prefers_unlimited = pending->was_over_limit,
+       .demand = this->costs.DemandOf(pending->expected,
+                                      pending->route->latency_target)});
 }
 
 void Frontend::SendTo(const PendingPointer& pending,
@@ -395,7 +419,9 @@
   pending->member = choice.member;
   pending->instance = choice.instance;
   pending->link_id = 0;
-  this->targets.RecordSent(choice.member);
+  this->targets.RecordSent(choice.member, pending->expected.mean);
+  this->costs.LogChoice(pending->request.id, pending->route->name,
+                        pending->expected, choice);
   std::string lines =
       pending->request.header_lines +
       this->options.dialect.encode_origin(
@@ -420,7 +446,8 @@
          .is_idempotent = pending->route->is_idempotent,
          .was_refused = pending->refusals > 0,
          .fingerprint = pending->fingerprint,
-         .is_suspect = is_suspect},
+         .is_suspect = is_suspect,
+         .expected = pending->expected},
         [this, pending, call_id](GateReply reply) {
           this->ReportLoad(this->options.mesh.self_name(),
                            this->options.gate.DescribeLoad());
@@ -453,6 +480,8 @@
   call.set_is_idempotent(pending->route->is_idempotent);
   call.set_fingerprint(pending->fingerprint);
   call.set_is_suspect(is_suspect);
+  call.set_expected_work_us(Microseconds(pending->expected.mean));
+  call.set_work_spread_us(Microseconds(pending->expected.spread));
   call.set_sent_at_us(this->options.mesh.PeerTime(choice.member, now));
   this->remote_calls.emplace(pending->call_id, pending);
   pending->link_id = this->options.mesh.Send(choice.member, frame);
@@ -473,7 +502,11 @@
        .failed_fraction = load.failing_permille() / kPermille,
        .limit_per_second = load.has_limit_per_second()
                                ? std::optional(load.limit_per_second())
-                               : std::nullopt},
+                               : std::nullopt,
+       .remaining_work = std::chrono::microseconds(load.remaining_work_us()),
+       .first_wait = std::chrono::microseconds(load.first_wait_us()),
+       .last_wait = std::chrono::microseconds(load.last_wait_us()),
+       .slowness = load.slowness_permille() / kPermille},
       Now());
 }
 
@@ -499,7 +532,8 @@
        .body = std::move(*reply.mutable_body()),
        .reason = reply.reason(),
        .retry_after = std::chrono::milliseconds(reply.retry_after_ms()),
-       .is_starved = reply.is_starved()});
+       .is_starved = reply.is_starved(),
+       .work = std::chrono::microseconds(reply.work_us())});
 }
 
 std::vector<Frontend::PendingPointer> Frontend::CallsOn(
@@ -569,6 +603,8 @@
   pending->call_id = 0;
   if (reply.outcome == Outcome::kAnswered) {
     this->targets.RecordAdmitted(pending->member, pending->rank, now);
+    this->costs.RecordRun(pending->Features(), pending->expected,
+                          pending->member, reply.work);
     if (reply.is_starved) {
       this->RecordStarvedCall(pending);
     }
--- a/packages/sidecar/src/requests/gate.cpp
+++ b/packages/sidecar/src/requests/gate.cpp
@@ -110,6 +110,9 @@
       starts(
           {.overdue_after = std::chrono::duration_cast<core::Duration>(
                this->options.settings.announcement_period * kOverduePeriods)}) {
+  if (this->options.settings.routes_by_cost) {
+    this->slots.WeighByWork();
+  }
   this->CheckAnnouncements();
 }
 
@@ -160,7 +163,7 @@
 core::Instant Gate::LatestStart(const GateCall& call) const {
   const auto work = core::Duration(static_cast<core::Duration::rep>(
       kWorkMarginFactor *
-      static_cast<double>(this->MeanWorkOf(call.route).count())));
+      static_cast<double>(this->ExpectedWorkOf(call).mean.count())));
   return std::min(call.soft_deadline - work, call.deadline - work / 2);
 }
 
@@ -224,12 +227,15 @@
     return;
   }
   call.holds_limit_token = true;
-  const auto verdict =
-      this->slots.Offer({.ticket = ticket,
-                         .rank = request.rank,
-                         .arrived_at = now,
-                         .latest_start = this->LatestStart(request)},
-                        now);
+  const core::routing::WorkEstimate expected = this->ExpectedWorkOf(request);
+  const core::Instant latest_start = this->LatestStart(request);
+  const auto verdict = this->slots.Offer({.ticket = ticket,
+                                          .rank = request.rank,
+                                          .arrived_at = now,
+                                          .latest_start = latest_start,
+                                          .expected_work = expected.mean,
+                                          .work_spread = expected.spread},
+                                         now);
   switch (verdict) {
     case core::overload::SlotDecision::kRun:
       this->Run(ticket);
@@ -238,7 +244,8 @@
       this->ScheduleExpiry();
       break;
     case core::overload::SlotDecision::kRefuse:
-      this->Refuse(ticket, kNoSlot, this->slots.ExpectedWait(request.rank));
+      this->Refuse(ticket, kNoSlot,
+                   this->slots.ExpectedWait(request.rank, latest_start, now));
       break;
   }
 }
@@ -355,6 +362,18 @@
                                         : found->second;
 }
 
+core::routing::WorkEstimate Gate::ExpectedWorkOf(const GateCall& call) const {
+  if (!this->options.settings.routes_by_cost ||
+      call.expected.mean == core::Duration::zero()) {
+    return {.mean = this->MeanWorkOf(call.route)};
+  }
+  const double slowness = this->speed.Slowness(Now());
+  return {.mean = std::chrono::duration_cast<core::Duration>(
+              call.expected.mean * slowness),
+          .spread = std::chrono::duration_cast<core::Duration>(
+              call.expected.spread * slowness)};
+}
+
 void Gate::ReleaseSlot(Ticket ticket, const Call& call, core::Instant now) {
   --this->running_calls;
   this->work_of_origin[call.request.origin].held += now - call.started_at;
@@ -389,6 +408,8 @@
   }
   if (!has_failed) {
     const core::Duration work = now - call.started_at;
+    reply.work = work;
+    this->speed.Record(work, call.request.expected.mean, now);
     core::Duration& mean = this->mean_work[call.request.route];
     mean = mean == core::Duration::zero()
                ? work
@@ -436,12 +457,12 @@
       this->ReturnConnection(call.connection);
     }
   } else {
-    this->slots.Finish(now - call.started_at, is_sample);
+    this->slots.Finish(ticket, now - call.started_at, is_sample);
     this->FinishBroken(ticket, std::get<http::ExchangeProblem>(outcome));
     this->DispatchWaiting();
     return;
   }
-  this->slots.Finish(now - call.started_at, is_sample);
+  this->slots.Finish(ticket, now - call.started_at, is_sample);
   this->Reply(ticket, std::move(reply));
   this->DispatchWaiting();
 }
@@ -558,7 +579,7 @@
   if ((reason == kNoSlot && !request.was_refused) ||
       (reason == kOverLimit && request.was_refused)) {
     this->work_of_origin[request.origin].unmet +=
-        this->MeanWorkOf(request.route);
+        this->ExpectedWorkOf(request).mean;
   }
   if (this->log.WouldWrite(Event::kSlotRefused)) {
     const Call& call = this->calls.at(ticket);
@@ -628,7 +649,7 @@
   }
   this->ReleaseSlot(ticket, call, now);
   constexpr bool kIsSample = false;
-  this->slots.Finish(core::Duration::zero(), kIsSample);
+  this->slots.Finish(ticket, core::Duration::zero(), kIsSample);
   this->EraseCall(ticket);
   this->DispatchWaiting();
   return false;
@@ -741,6 +762,7 @@
     this->crash_detector.Reset();
     this->slots.ResetMeanWork();
     this->failures.Reset();
+    this->speed.Reset();
     this->limit.Reset();
     const auto recalled =
         this->recalled_limits.find(StartName(this->starts.current()));
@@ -795,6 +817,14 @@
   if (const auto per_second = this->limit.per_second()) {
     load.set_limit_per_second(*per_second);
   }
+  if (this->options.settings.routes_by_cost) {
+    const core::Instant now = Now();
+    load.set_remaining_work_us(Microseconds(this->slots.RemainingWork(now)));
+    load.set_slowness_permille(
+        static_cast<std::uint32_t>(kPermille * this->speed.Slowness(now)));
+    load.set_first_wait_us(Microseconds(this->slots.ExpectedWaitOfFirst(now)));
+    load.set_last_wait_us(Microseconds(this->slots.ExpectedWaitOfLast(now)));
+  }
   return load;
 }
 
--- a/packages/sidecar/src/settings.cpp
+++ b/packages/sidecar/src/settings.cpp
@@ -92,6 +92,18 @@
     return value == nullptr || value->is_null() ? fallback : this->Port(path);
   }
 
+  bool Flag(std::initializer_list<std::string_view> path, bool fallback) {
+    const json::value* value = this->Find(path);
+    if (value == nullptr || value->is_null()) {
+      return fallback;
+    }
+    if (!value->is_bool()) {
+      this->Report(path, "is neither true nor false");
+      return fallback;
+    }
+    return value->get_bool();
+  }
+
   double Number(std::initializer_list<std::string_view> path, double fallback) {
     const json::value* value = this->Find(path);
     if (value == nullptr || value->is_null()) {
@@ -196,21 +208,23 @@
       .store_address = reader.Address({"store", "address"}),
       .announcement_period = reader.Time({"target", "announcement_period"},
                                          Settings().announcement_period),
-      .bounds = {
-          .manifest_adoption = reader.Time({"bounds", "manifest_adoption"},
-                                           defaults.manifest_adoption),
-          .key_withdrawal = reader.Time({"bounds", "key_withdrawal"},
-                                        defaults.key_withdrawal),
-          .stop_grace =
-              reader.Time({"bounds", "stop_grace"}, defaults.stop_grace),
-          .repeat_ratio =
-              reader.Number({"bounds", "repeat_ratio"}, defaults.repeat_ratio),
-          .repeat_base =
-              reader.Number({"bounds", "repeat_base"}, defaults.repeat_base),
-          .repeat_window =
-              reader.Time({"bounds", "repeat_window"}, defaults.repeat_window),
-          .account_window = reader.Time({"bounds", "account_window"},
-                                        defaults.account_window)}};
+      .bounds = {.manifest_adoption =
+                     reader.Time({"bounds", "manifest_adoption"},
+                                 defaults.manifest_adoption),
+                 .key_withdrawal = reader.Time({"bounds", "key_withdrawal"},
+                                               defaults.key_withdrawal),
+                 .stop_grace =
+                     reader.Time({"bounds", "stop_grace"}, defaults.stop_grace),
+                 .repeat_ratio = reader.Number({"bounds", "repeat_ratio"},
+                                               defaults.repeat_ratio),
+                 .repeat_base = reader.Number({"bounds", "repeat_base"},
+                                              defaults.repeat_base),
+                 .repeat_window = reader.Time({"bounds", "repeat_window"},
+                                              defaults.repeat_window),
+                 .account_window = reader.Time({"bounds", "account_window"},
+                                               defaults.account_window)},
+      .routes_by_cost =
+          reader.Flag({"routing", "by_cost"}, Settings().routes_by_cost)};
   if (settings.bounds.manifest_adoption < kMinManifestBound) {
     problems.push_back(
         {"sidecar.bounds.manifest_adoption", "is shorter than 100ms"});
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -585,7 +585,11 @@
          .is_idempotent = call.is_idempotent(),
          .was_refused = call.was_refused(),
          .fingerprint = call.fingerprint(),
-         .is_suspect = call.is_suspect()},
+         .is_suspect = call.is_suspect(),
+         .expected = {.mean =
+                          std::chrono::microseconds(call.expected_work_us()),
+                      .spread =
+                          std::chrono::microseconds(call.work_spread_us())}},
         [this, link, call_id](requests::GateReply reply) {
           this->AnswerCall(link, call_id, std::move(reply));
         });
@@ -616,6 +620,7 @@
     answer.set_body(std::move(reply.body));
     answer.set_reason(std::move(reply.reason));
     answer.set_is_starved(reply.is_starved);
+    answer.set_work_us(Microseconds(reply.work));
     answer.set_retry_after_ms(Milliseconds(reply.retry_after));
     *answer.mutable_load() = this->gate.DescribeLoad();
     link->Send(frame);
@@ -841,7 +846,11 @@
          << "\nlycheewell_target_mean_work_seconds "
          << static_cast<double>(load.mean_work_us()) / 1e6
          << "\nlycheewell_target_failing_part "
-         << load.failing_permille() / 1000.0 << "\n";
+         << load.failing_permille() / 1000.0
+         << "\nlycheewell_target_remaining_work_seconds "
+         << static_cast<double>(load.remaining_work_us()) / 1e6
+         << "\nlycheewell_target_slowness " << load.slowness_permille() / 1000.0
+         << "\n";
     for (const auto& decision : this->front.demand().Decisions()) {
       text << "lycheewell_entry_part{route=\"" << decision.route << "\"} "
            << decision.admitted_fraction << "\n";
--- a/tests/core/slot_gate_test.cpp
+++ b/tests/core/slot_gate_test.cpp
@@ -18,7 +18,7 @@
   gate.Resize({.slots = 2});
   CHECK(gate.Offer({.ticket = 1000, .latest_start = kStart}, kStart) ==
         SlotDecision::kRun);
-  gate.Finish(milliseconds(100), true);
+  gate.Finish(1000, milliseconds(100), true);
   return gate;
 }
 
@@ -46,13 +46,13 @@
     REQUIRE(offer(5, 5, 500) == SlotDecision::kWait);
 
     SECTION("the most important one runs first") {
-      gate.Finish(milliseconds(100), true);
+      gate.Finish(1, milliseconds(100), true);
       CHECK(gate.Dispatch(kStart).run == std::vector<std::uint64_t>{4});
       CHECK(gate.running() == 2);
     }
     SECTION(
         "requests past their latest start are refused instead of run late") {
-      gate.Finish(milliseconds(100), true);
+      gate.Finish(1, milliseconds(100), true);
       const DispatchResult result = gate.Dispatch(kStart + milliseconds(600));
       CHECK(result.run.empty());
       CHECK(result.refuse.size() == 3);
@@ -61,7 +61,7 @@
     SECTION("a cancelled request is removed") {
       CHECK(gate.Remove(4));
       CHECK_FALSE(gate.Remove(4));
-      gate.Finish(milliseconds(100), true);
+      gate.Finish(1, milliseconds(100), true);
       CHECK(gate.Dispatch(kStart).run == std::vector<std::uint64_t>{3});
     }
   }
@@ -90,8 +90,9 @@
   for (int ms = 0; ms < 20'000; ++ms) {
     now = kStart + milliseconds(ms);
     while (!running.empty() && running.begin()->first <= now) {
+      const std::uint64_t finished = running.begin()->second;
       running.erase(running.begin());
-      gate.Finish(kWork, true);
+      gate.Finish(finished, kWork, true);
       for (const std::uint64_t started : gate.Dispatch(now).run) {
         run(started);
       }
