--- a/tests/harness/sidecar_vm.cpp
+++ b/tests/harness/sidecar_vm.cpp
@@ -173,7 +173,8 @@
                                      : this->base_port + 4)
       << R"(,"metrics_port":)" << this->base_port + 5
       << R"(,"store":{"address":")" << LoopbackAddress(this->store_port)
-      << R"("},"bounds":{}}})";
+      << R"("},"routing":{"by_cost":)"
+      << (this->routes_by_cost ? "true" : "false") << R"(},"bounds":{}}})";
   this->process.emplace(
       std::vector<std::string>{std::string(LYCHEEWELL_BIN_DIR) + "/lycheewelld",
                                "--settings", path},
--- a/tests/harness/sidecar_vm.h
+++ b/tests/harness/sidecar_vm.h
@@ -121,6 +121,7 @@
   std::optional<SidecarTarget> target;
   std::optional<Process> process;
   int sequence = 0;
+  bool routes_by_cost = false;  // from the next start on
 
  private:
   int store_port;
--- a/tests/platform/adapter_test.cpp
+++ b/tests/platform/adapter_test.cpp
@@ -299,6 +299,18 @@
   CHECK(std::get<sidecar::Settings>(parsed).bounds.account_window ==
         std::chrono::seconds(4));
 
+  CHECK(std::get<sidecar::Settings>(parsed).routes_by_cost);
+
+  SECTION("a switch that is no truth value is rejected") {
+    const std::size_t at = text.find("true");
+    REQUIRE(at != std::string::npos);
+    text.replace(at, 4, "1");
+    const auto wrong = sidecar::ParseSettings(text);
+    REQUIRE(std::holds_alternative<daemon::settings::Problems>(wrong));
+    CHECK(std::get<daemon::settings::Problems>(wrong).front().path ==
+          "sidecar.routing.by_cost");
+  }
+
   SECTION("an account window that is too short is rejected") {
     const std::size_t at = text.find("\"4s\"");
     REQUIRE(at != std::string::npos);
