--- a/packages/core/include/lycheewell/core/routing/target_selector.h
+++ b/packages/core/include/lycheewell/core/routing/target_selector.h
@@ -170,8 +170,17 @@
 
   // Slots, reduced while the target is cold.
   static double CapacityOf(const Entry& entry, Instant now);
+  // Requests that run and wait at the target, as far as they are known here.
+  static int RequestsAt(const Entry& entry);
+  static double MeanWorkNs(const Entry& entry);
+  static double FailureCostNs(const Entry& entry);
+  static Duration WithKnownDelays(double wait_ns, const Entry& entry,
+                                  Instant now);
   static Estimate EstimateOf(const Entry& entry, double lowest_mean_work_ns,
                              Instant now);
+  // Expected wait of a request that can wait for `slack_ns`.
+  static double WaitByDemandNs(const Entry& entry, double capacity,
+                               double slowness, double slack_ns);
   static Estimate EstimateByDemand(const Entry& entry,
                                    const RequestDemand& demand,
                                    double mean_slowness, Instant now);
--- a/packages/core/src/routing/target_selector.cpp
+++ b/packages/core/src/routing/target_selector.cpp
@@ -204,6 +204,18 @@
                              std::chrono::duration<double>(work).count());
 }
 
+double TargetSelector::MeanWorkNs(const Entry& entry) {
+  return static_cast<double>((entry.load.mean_work > Duration::zero()
+                                  ? entry.load.mean_work
+                                  : kDefaultMeanWork)
+                                 .count());
+}
+
+double TargetSelector::FailureCostNs(const Entry& entry) {
+  return kFailureCostNs *
+         std::max(0.0, entry.load.failed_fraction - kToleratedFailedFraction);
+}
+
 double TargetSelector::CapacityOf(const Entry& entry, Instant now) {
   return std::max(
       1.0, entry.target.slots *
@@ -227,97 +239,97 @@
   return slots;
 }
 
+int TargetSelector::RequestsAt(const Entry& entry) {
+  return std::max(entry.outstanding, entry.load.running + entry.load.waiting +
+                                         entry.sent_since_report);
+}
+
+Duration TargetSelector::WithKnownDelays(double wait_ns, const Entry& entry,
+                                         Instant now) {
+  const Duration wait(static_cast<Duration::rep>(wait_ns));
+  const bool has_refused = now - entry.refused_at < kRefusalLifetime;
+  return (has_refused ? std::max(wait, entry.refused_wait) : wait) +
+         entry.path_delay;
+}
+
 TargetSelector::Estimate TargetSelector::EstimateOf(const Entry& entry,
                                                     double lowest_mean_work_ns,
                                                     Instant now) {
   const double capacity = CapacityOf(entry, now);
-  const int reported = entry.load.running + entry.load.waiting;
-  const double requests_at_target = static_cast<double>(
-      std::max(entry.outstanding, reported + entry.sent_since_report));
+  const double requests_at_target = RequestsAt(entry);
   const bool has_reported_work = entry.load.mean_work > Duration::zero();
-  const Duration work =
-      has_reported_work ? entry.load.mean_work : kDefaultMeanWork;
-  const auto work_ns = static_cast<double>(work.count());
+  const double work_ns = MeanWorkNs(entry);
   const double slowness_ns =
       has_reported_work
           ? std::max(0.0, work_ns - kToleratedSlowdown * lowest_mean_work_ns)
           : 0.0;
-  const double excess = requests_at_target + 1 - capacity;
-  Estimate estimate;
-  if (excess > 0) {
-    estimate.wait =
-        Duration(static_cast<Duration::rep>(excess * work_ns / capacity));
-  }
-  if (now - entry.refused_at < kRefusalLifetime) {
-    estimate.wait = std::max(estimate.wait, entry.refused_wait);
-  }
-  estimate.wait += entry.path_delay;
+  const double excess = std::max(0.0, requests_at_target + 1 - capacity);
   const double utilization = std::min(1.0, requests_at_target / capacity);
+  Estimate estimate;
+  estimate.wait = WithKnownDelays(excess * work_ns / capacity, entry, now);
   estimate.cost_ns =
       static_cast<double>(estimate.wait.count()) +
       work_ns * std::max(0.0, utilization - kMaxUncontendedUtilization) +
-      slowness_ns +
-      kFailureCostNs *
-          std::max(0.0, entry.load.failed_fraction - kToleratedFailedFraction);
+      slowness_ns + FailureCostNs(entry);
   return estimate;
 }
 
+double TargetSelector::WaitByDemandNs(const Entry& entry, double capacity,
+                                      double slowness, double slack_ns) {
+  const TargetLoad& load = entry.load;
+  const double beyond_slots = RequestsAt(entry) + 1 - capacity;
+  if (beyond_slots <= 0) {
+    return 0;
+  }
+  if (load.slowness <= 0) {
+    // Its daemon does not weigh requests by their work.
+    return beyond_slots * MeanWorkNs(entry) / capacity;
+  }
+  double wait_ns =
+      std::min(static_cast<double>(load.last_wait.count()),
+               std::max(static_cast<double>(load.first_wait.count()),
+                        slack_ns * kUrgentSlackFraction));
+  if (wait_ns == 0) {
+    // The slots have been taken since the report. Until the first release:
+    const double run_ns =
+        load.running > 0
+            ? static_cast<double>(load.remaining_work.count()) / load.running
+            : MeanWorkNs(entry);
+    wait_ns = run_ns / capacity;
+  }
+  if (entry.sent_since_report > 0) {
+    const double sent = entry.sent_since_report;
+    const double queued_since = std::min(sent, beyond_slots - 1);
+    wait_ns += entry.sent_work_ns * slowness * queued_since / sent / capacity;
+  }
+  return wait_ns;
+}
+
 TargetSelector::Estimate TargetSelector::EstimateByDemand(
     const Entry& entry, const RequestDemand& demand, double mean_slowness,
     Instant now) {
-  const TargetLoad& load = entry.load;
   const double capacity = CapacityOf(entry, now);
-  const double slowness = load.slowness > 0 && mean_slowness > 0
-                              ? load.slowness / mean_slowness
-                              : 1.0;
-  const int reported = load.running + load.waiting;
-  const double requests_at_target = static_cast<double>(
-      std::max(entry.outstanding, reported + entry.sent_since_report));
-  const Duration known_work =
+  const double slowness =
+      entry.load.slowness > 0 ? entry.load.slowness / mean_slowness : 1.0;
+  const double work_ns =
       demand.work > Duration::zero()
-          ? demand.work
-          : (load.mean_work > Duration::zero() ? load.mean_work
-                                               : kDefaultMeanWork);
-  const double work_ns = slowness * static_cast<double>(known_work.count());
-
-  double wait_ns = 0;
-  const double beyond_slots = requests_at_target + 1 - capacity;
-  if (beyond_slots > 0) {
-    const double slack_ns = LatencyTargetNs(demand) - work_ns;
-    wait_ns = std::min(static_cast<double>(load.last_wait.count()),
-                       std::max(static_cast<double>(load.first_wait.count()),
-                                slack_ns * kUrgentSlackFraction));
-    if (wait_ns == 0) {
-      // Until the first release.
-      const double run_ns =
-          load.running > 0
-              ? static_cast<double>(load.remaining_work.count()) / load.running
-              : work_ns;
-      wait_ns = run_ns / capacity;
-    }
-    const double sent = entry.sent_since_report;
-    if (sent > 0) {
-      const double queued_since = std::min(sent, beyond_slots - 1);
-      wait_ns += entry.sent_work_ns * slowness * queued_since / sent / capacity;
-    }
-  }
+          ? slowness * static_cast<double>(demand.work.count())
+          : MeanWorkNs(entry);
+  const double latency_target_ns = LatencyTargetNs(demand);
+  const double utilization = std::min(1.0, RequestsAt(entry) / capacity);
   Estimate estimate;
-  estimate.wait = Duration(static_cast<Duration::rep>(wait_ns));
-  if (now - entry.refused_at < kRefusalLifetime) {
-    estimate.wait = std::max(estimate.wait, entry.refused_wait);
-  }
-  estimate.wait += entry.path_delay;
-  const double completion_ns =
-      static_cast<double>(estimate.wait.count()) + work_ns;
-  const double utilization = std::min(1.0, requests_at_target / capacity);
+  estimate.wait = WithKnownDelays(
+      WaitByDemandNs(entry, capacity, slowness, latency_target_ns - work_ns),
+      entry, now);
+  const auto wait_ns = static_cast<double>(estimate.wait.count());
+  // Speed counts by how much of the latency target the completion takes.
   estimate.cost_ns =
-      static_cast<double>(estimate.wait.count()) +
-      work_ns * std::min(1.0, completion_ns / LatencyTargetNs(demand)) +
+      wait_ns +
+      work_ns * std::min(1.0, (wait_ns + work_ns) / latency_target_ns) +
       work_ns * kContentionAtFullUse *
           std::max(0.0, utilization - kMaxUncontendedUtilization) /
           (1 - kMaxUncontendedUtilization) +
-      kFailureCostNs *
-          std::max(0.0, load.failed_fraction - kToleratedFailedFraction);
+      FailureCostNs(entry);
   return estimate;
 }
 
--- a/packages/sidecar/src/requests/frontend.cpp
+++ b/packages/sidecar/src/requests/frontend.cpp
@@ -130,13 +130,12 @@
   core::routing::WorkEstimate expected;
 
   core::routing::WorkFeatures Features() const {
-    return {.service = this->service,
-            .route = this->route->name,
-            .payer = this->account == nullptr
-                         ? std::string_view(this->origin)
-                         : std::string_view(this->account->name),
-            .method = this->request.method,
-            .body_bytes = this->exchange->request().body().size()};
+    return {
+        .service = this->service,
+        .route = this->route->name,
+        .payer = this->account == nullptr ? this->origin : this->account->name,
+        .method = this->request.method,
+        .body_bytes = this->exchange->request().body().size()};
   }
 };
 
--- a/tests/core/cost_routing_test.cpp
+++ b/tests/core/cost_routing_test.cpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <random>
 #include <string>
+#include <string_view>
 
 #include "lycheewell/core/overload/slot_gate.h"
 #include "lycheewell/core/routing/target_selector.h"
@@ -30,11 +31,11 @@
 
 // Four fifths of the requests are lookups, but entries need most of the slots.
 struct Kind {
-  std::string route;
+  std::string_view route;
   milliseconds work;
   milliseconds latency_target;
 };
-const std::array<Kind, 2> kKinds = {
+constexpr std::array<Kind, 2> kKinds = {
     Kind{"lookup", milliseconds(15), milliseconds(300)},
     Kind{"entry", milliseconds(320), milliseconds(1500)}};
 constexpr double kLookupFraction = 0.8;
@@ -451,6 +452,56 @@
   }
 }
 
+TEST_CASE("A request goes where its caller notices the difference",
+          "[core][routing][cost]") {
+  TargetSelector selector;
+  RandomSource random = [generator = std::mt19937_64(1)]() mutable {
+    return generator();
+  };
+  const auto put = [&](const std::string& member, Distance distance,
+                       const TargetLoad& load) {
+    selector.Put(
+        member,
+        {.instance = member, .service = "s", .distance = distance, .slots = 10},
+        kStart);
+    selector.RecordLoad(member, load, kStart);
+  };
+  const auto share_of = [&](const std::string& member, int latency_target_ms) {
+    int chosen = 0;
+    for (int i = 0; i < 1000; ++i) {
+      const auto choice = selector.Choose(
+          "s", {}, kStart, random,
+          {.demand = RequestDemand{
+               .work = milliseconds(100),
+               .latency_target = milliseconds(latency_target_ms)}});
+      chosen += choice->member == member ? 1 : 0;
+    }
+    return chosen / 1000.0;
+  };
+  put("far", Distance::kOtherDataCentre, {.running = 2, .slowness = 1});
+
+  SECTION("to another data centre only for a wait that counts") {
+    put("near", Distance::kSameDataCentre,
+        {.running = 10,
+         .remaining_work = milliseconds(500),
+         .first_wait = milliseconds(30),
+         .last_wait = milliseconds(30),
+         .slowness = 1});
+    CHECK(share_of("near", 1500) > 0.95);
+    CHECK(share_of("far", 250) > 0.95);
+  }
+  SECTION("to a faster target only where speed counts") {
+    put("near", Distance::kSameDataCentre, {.running = 2, .slowness = 2});
+    CHECK(share_of("near", 4000) > 0.95);
+    CHECK(share_of("far", 250) > 0.95);
+  }
+  SECTION("and requests count where a target's daemon does not weigh them") {
+    put("near", Distance::kSameDataCentre,
+        {.running = 10, .waiting = 90, .mean_work = milliseconds(100)});
+    CHECK(share_of("far", 1500) > 0.95);
+  }
+}
+
 // Lookups of 15 ms beside entries of 320 ms, on targets whose speeds differ 3:1
 // and whose loads are known a second late.
 TEST_CASE("Requests are served in time where they are weighed by their work",
--- a/tests/sidecar/cost_test.cpp
+++ b/tests/sidecar/cost_test.cpp
@@ -56,11 +56,11 @@
     for (Vm* vm : {&fast, &slow}) {
       REQUIRE(vm->AnnounceAs(1, reports, "ready", kSlots) == 200);
     }
-    std::vector<std::future<unsigned>> calls;
-    for (int i = 0; i < 2 * kSlots; ++i) {
-      calls.push_back(std::async(std::launch::async, [&] {
+    std::vector<std::future<unsigned>> calls(2 * std::size_t{kSlots});
+    for (auto& call : calls) {
+      call = std::async(std::launch::async, [&] {
         return fast.Call("/look/1", "k1", Verb::get).status;
-      }));
+      });
     }
     for (auto& call : calls) {
       CHECK(call.get() == 200);
