--- a/packages/core/include/lycheewell/core/routing/target_selector.h
+++ b/packages/core/include/lycheewell/core/routing/target_selector.h
@@ -33,6 +33,13 @@
   std::optional<double> limit_per_second;
   // Requests per second that one daemon should send at most.
   std::optional<double> share_per_second;
+  // Expected work of all requests that run and wait, less what is done.
+  Duration remaining_work{};
+  // Expected waits of a request ahead of all that wait now, and behind them.
+  Duration first_wait{};
+  Duration last_wait{};
+  // Measured work relative to what senders expected; zero: not known.
+  double slowness = 0;
 
   bool operator==(const TargetLoad&) const = default;
 };
@@ -61,6 +68,14 @@
   bool operator==(const Choice&) const = default;
 };
 
+// What the caller of a request and its target have to expect.
+struct RequestDemand {
+  Duration work{};            // at a target of mean speed; zero: not known
+  Duration latency_target{};  // of the caller; zero: none
+
+  bool operator==(const RequestDemand&) const = default;
+};
+
 // What matters for the choice besides the service.
 struct ChoiceOptions {
   int rank = 0;  // lower ranks are more important
@@ -72,6 +87,9 @@
   // both bind, an empty list allows all.
   std::span<const std::string> route_homes = {};
   std::span<const std::string> account_homes = {};
+  // The choice goes by the expected completion of this request. Without it, all
+  // requests of a target count as equally long.
+  std::optional<RequestDemand> demand;
 };
 
 class TargetSelector {
@@ -95,8 +113,8 @@
   void ApplyEvacuations(const EvacuationShift& shift, Instant now);
 
   // A request sent to the member's target counts as outstanding until
-  // RecordDone.
-  void RecordSent(const std::string& member);
+  // RecordDone. `work` is what it needs at a target of mean speed.
+  void RecordSent(const std::string& member, Duration work = {});
   void RecordDone(const std::string& member);
 
   // The member refused a request and named the expected wait. The wait holds
@@ -126,6 +144,10 @@
   // Service of the member's target; empty when the member is unknown.
   std::string ServiceOf(const std::string& member) const;
 
+  // Slowness of the member's target relative to the mean of its service; 1 if
+  // it is not known.
+  double RelativeSlownessOf(const std::string& member) const;
+
   // Slots of all reachable targets that accept work, by service. Cold targets
   // count in full because their slowness shows in the time that slots are held.
   // A target with a limit counts with the slots that its requests occupy at
@@ -150,6 +172,7 @@
     bool is_reachable = true;
     int outstanding = 0;  // requests from this daemon without an answer yet
     int sent_since_report = 0;
+    double sent_work_ns = 0;  // of the requests sent since the report
     Instant refused_at;
     Duration refused_wait{};
     Duration path_delay{};
@@ -176,11 +199,25 @@
 
   // Slots, reduced while the target is cold.
   static double CapacityOf(const Entry& entry, Instant now);
+  // Requests that run and wait at the target, as far as they are known here.
+  static int RequestsAt(const Entry& entry);
+  static double MeanWorkNs(const Entry& entry);
+  static double FailureCostNs(const Entry& entry);
+  static Duration WithKnownDelays(double wait_ns, const Entry& entry,
+                                  Instant now);
   static Estimate EstimateOf(const Entry& entry, double lowest_mean_work_ns,
                              Instant now);
+  // Expected wait of a request that can wait for `slack_ns`.
+  static double WaitByDemandNs(const Entry& entry, double capacity,
+                               double slowness, double slack_ns);
+  static Estimate EstimateByDemand(const Entry& entry,
+                                   const RequestDemand& demand,
+                                   double mean_slowness, Instant now);
   // Lowest mean work among the members' targets that accept work;
   // Duration::max() when none of them has reported any.
   double LowestMeanWorkNs(const std::set<std::string>& members) const;
+  // Mean over the members' targets that accept work and have reported it.
+  double MeanSlowness(const std::set<std::string>& members) const;
 
   std::map<std::string, Entry> entries;
   std::map<std::string, std::set<std::string>, std::less<>> members_by_service;
--- a/packages/daemon/include/lycheewell/daemon/events/event_catalogue.h
+++ b/packages/daemon/include/lycheewell/daemon/events/event_catalogue.h
@@ -42,6 +42,7 @@
   kEntryPartChanged = 2108,
   kCallHeldBack = 2109,
   kCallArrivedLate = 2110,
+  kTargetChosen = 2112,
   kCallWaited = 2114,
   kAccountCut = 2115,
   kEntryBraked = 2116,
--- a/packages/daemon/src/events/event_catalogue.cpp
+++ b/packages/daemon/src/events/event_catalogue.cpp
@@ -34,6 +34,7 @@
       {Event::kEntryPartChanged, Level::kInfo, "entry-part-changed"},
       {Event::kCallHeldBack, Level::kWarn, "call-held-back"},
       {Event::kCallArrivedLate, Level::kInfo, "call-arrived-late"},
+      {Event::kTargetChosen, Level::kInfo, "target-chosen"},
       {Event::kCallWaited, Level::kInfo, "call-waited"},
       {Event::kAccountCut, Level::kInfo, "account-cut"},
       {Event::kEntryBraked, Level::kInfo, "entry-braked"},
--- a/packages/sidecar/include/lycheewell/sidecar/requests/frontend.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/frontend.h
@@ -28,6 +28,7 @@
 #include "lycheewell/sidecar/requests/account_limiter.h"
 #include "lycheewell/sidecar/requests/gate.h"
 #include "lycheewell/sidecar/requests/quarantine.h"
+#include "lycheewell/sidecar/requests/request_costs.h"
 #include "lycheewell/sidecar/settings.h"
 
 namespace lycheewell::sidecar::requests {
@@ -156,6 +157,7 @@
   DecisionLog& log;
   Options options;
   core::routing::TargetSelector targets;
+  RequestCosts costs;
   core::overload::DemandModel demand_model;
   // By route and priority of the request.
   std::map<std::pair<std::string, int>, core::overload::AccountTurns>
--- a/packages/sidecar/include/lycheewell/sidecar/settings.h
+++ b/packages/sidecar/include/lycheewell/sidecar/settings.h
@@ -82,6 +82,9 @@
   LimitSettings limits;
   BoundSettings bounds;
   AdmissionSettings admission;
+  // Requests are routed and admitted by the work that they are expected to
+  // need.
+  bool routes_by_cost = false;
 
   bool operator==(const Settings&) const = default;
 };
--- a/packages/sidecar/src/requests/gate.cpp
+++ b/packages/sidecar/src/requests/gate.cpp
@@ -117,6 +117,9 @@
           {.overdue_after = std::chrono::duration_cast<core::Duration>(
                this->options.settings.announcement_period * kOverduePeriods)}),
       cold(this->timers, this->log, this->ColdWatchOptions()) {
+  if (this->options.settings.routes_by_cost) {
+    this->slots.WeighByWork();
+  }
   this->CheckAnnouncements();
 }
 
@@ -210,7 +213,7 @@
 core::Instant Gate::LatestStart(const GateCall& call) const {
   const auto work = core::Duration(static_cast<core::Duration::rep>(
       kWorkMarginFactor *
-      static_cast<double>(this->MeanWorkOf(call.route).count())));
+      static_cast<double>(this->ExpectedWorkOf(call).mean.count())));
   return std::min(this->AnswerBy(call) - work, call.deadline - work / 2);
 }
 
@@ -286,13 +289,16 @@
     return;
   }
   call.holds_limit_token = true;
-  const auto verdict =
-      this->slots.Offer({.ticket = ticket,
-                         .rank = request.rank,
-                         .arrived_at = now,
-                         .latest_start = this->LatestStart(request),
-                         .turn = TurnOf(request)},
-                        now);
+  const core::routing::WorkEstimate expected = this->ExpectedWorkOf(request);
+  const core::overload::SlotRequest slot_request{
+      .ticket = ticket,
+      .rank = request.rank,
+      .arrived_at = now,
+      .latest_start = this->LatestStart(request),
+      .turn = TurnOf(request),
+      .expected_work = expected.mean,
+      .work_spread = expected.spread};
+  const auto verdict = this->slots.Offer(slot_request, now);
   switch (verdict) {
     case core::overload::SlotDecision::kRun:
       this->Run(ticket);
@@ -302,7 +308,8 @@
       break;
     case core::overload::SlotDecision::kRefuse:
       this->Refuse(ticket, kNoSlot,
-                   this->slots.ExpectedWait(request.rank, TurnOf(request)));
+                   this->slots.ExpectedWait(
+                       request.rank, this->slots.OrderOf(slot_request), now));
       break;
   }
 }
@@ -446,6 +453,18 @@
                                         : found->second;
 }
 
+core::routing::WorkEstimate Gate::ExpectedWorkOf(const GateCall& call) const {
+  if (!this->options.settings.routes_by_cost ||
+      call.expected.mean == core::Duration::zero()) {
+    return {.mean = this->MeanWorkOf(call.route)};
+  }
+  const double slowness = this->speed.Slowness(Now());
+  return {.mean = std::chrono::duration_cast<core::Duration>(
+              call.expected.mean * slowness),
+          .spread = std::chrono::duration_cast<core::Duration>(
+              call.expected.spread * slowness)};
+}
+
 void Gate::ReleaseSlot(Ticket ticket, const Call& call, core::Instant now) {
   --this->running_calls;
   this->work_of_origin[call.request.origin].held += now - call.started_at;
@@ -488,6 +507,8 @@
   }
   if (!has_failed) {
     const core::Duration work = now - call.started_at;
+    reply.work = work;
+    this->speed.Record(work, call.request.expected.mean, now);
     core::Duration& mean = this->mean_work[call.request.route];
     mean = mean == core::Duration::zero()
                ? work
@@ -536,12 +557,12 @@
       this->ReturnConnection(call.connection);
     }
   } else {
-    this->slots.Finish(now - call.started_at, is_sample);
+    this->slots.Finish(ticket, now - call.started_at, is_sample);
     this->FinishBroken(ticket, std::get<http::ExchangeProblem>(outcome));
     this->DispatchWaiting();
     return;
   }
-  this->slots.Finish(now - call.started_at, is_sample);
+  this->slots.Finish(ticket, now - call.started_at, is_sample);
   this->Reply(ticket, std::move(reply));
   this->DispatchWaiting();
 }
@@ -669,7 +690,7 @@
   if ((reason == kNoSlot && !request.was_refused) ||
       (reason == kOverLimit && request.was_refused)) {
     this->work_of_origin[request.origin].unmet +=
-        this->MeanWorkOf(request.route);
+        this->ExpectedWorkOf(request).mean;
   }
   if (this->log.WouldWrite(Event::kSlotRefused)) {
     const Call& call = this->calls.at(ticket);
@@ -739,7 +760,7 @@
   }
   this->ReleaseSlot(ticket, call, now);
   constexpr bool kIsSample = false;
-  this->slots.Finish(core::Duration::zero(), kIsSample);
+  this->slots.Finish(ticket, core::Duration::zero(), kIsSample);
   this->EraseCall(ticket);
   this->DispatchWaiting();
   return false;
@@ -852,6 +873,7 @@
     this->crash_detector.Reset();
     this->slots.ResetMeanWork();
     this->failures.Reset();
+    this->speed.Reset();
     this->limit.Reset();
     const auto recalled =
         this->recalled_limits.find(StartName(this->starts.current()));
@@ -914,6 +936,14 @@
     load.set_limit_per_second(*per_second);
   }
   this->cold.DescribeLoad(load);
+  if (this->options.settings.routes_by_cost) {
+    const core::Instant now = Now();
+    load.set_remaining_work_us(Microseconds(this->slots.RemainingWork(now)));
+    load.set_slowness_permille(
+        static_cast<std::uint32_t>(kPermille * this->speed.Slowness(now)));
+    load.set_first_wait_us(Microseconds(this->slots.ExpectedWaitOfFirst(now)));
+    load.set_last_wait_us(Microseconds(this->slots.ExpectedWaitOfLast(now)));
+  }
   return load;
 }
 
--- a/packages/sidecar/src/settings.cpp
+++ b/packages/sidecar/src/settings.cpp
@@ -258,11 +258,13 @@
                                                defaults.account_window),
                  .evacuation = reader.Time({"bounds", "evacuation"},
                                            defaults.evacuation)},
-      .admission = {
-          .patient_calls = reader.Switch({"admission", "patient_calls"}),
-          .fast_entry = reader.Switch({"admission", "fast_entry"}),
-          .account_turns = reader.Switch({"admission", "account_turns"}),
-          .returns = reader.Switch({"admission", "returns"})}};
+      .admission = {.patient_calls =
+                        reader.Switch({"admission", "patient_calls"}),
+                    .fast_entry = reader.Switch({"admission", "fast_entry"}),
+                    .account_turns =
+                        reader.Switch({"admission", "account_turns"}),
+                    .returns = reader.Switch({"admission", "returns"})},
+      .routes_by_cost = reader.Switch({"routing", "by_cost"})};
   if (settings.limits.held_bytes < kMinHeldBytes) {
     problems.push_back({"sidecar.limits.held_bytes", "is less than 1048576"});
   }
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -667,7 +667,11 @@
          .is_idempotent = call.is_idempotent(),
          .was_refused = call.was_refused(),
          .fingerprint = call.fingerprint(),
-         .is_suspect = call.is_suspect()},
+         .is_suspect = call.is_suspect(),
+         .expected = {.mean =
+                          std::chrono::microseconds(call.expected_work_us()),
+                      .spread =
+                          std::chrono::microseconds(call.work_spread_us())}},
         [this, link, call_id](requests::GateReply reply) {
           this->AnswerCall(link, call_id, std::move(reply));
         });
@@ -698,6 +702,7 @@
     answer.set_body(std::move(reply.body));
     answer.set_reason(std::move(reply.reason));
     answer.set_is_starved(reply.is_starved);
+    answer.set_work_us(Microseconds(reply.work));
     answer.set_retry_after_ms(Milliseconds(reply.retry_after));
     *answer.mutable_load() = this->gate.DescribeLoad();
     link->Send(frame);
@@ -936,6 +941,9 @@
          << Milliseconds(this->gate.cold_watch().cold_for()) / 1000.0
          << "\nlycheewell_target_cold_refused_total "
          << this->gate.cold_watch().refused()
+         << "\nlycheewell_target_remaining_work_seconds "
+         << static_cast<double>(load.remaining_work_us()) / 1e6
+         << "\nlycheewell_target_slowness " << load.slowness_permille() / 1000.0
          << "\nlycheewell_targets_evacuated "
          << this->front.selector().CountEvacuatedTargets() << "\n";
     this->evacuations.RenderMetrics(text);
--- a/tests/core/call_patience_test.cpp
+++ b/tests/core/call_patience_test.cpp
@@ -39,7 +39,7 @@
     for (SlotGate& gate : this->gates) {
       gate.Resize({.slots = kSlots});
       gate.Offer({.latest_start = kStart}, kStart);
-      gate.Finish(kWork, true);
+      gate.Finish(0, kWork, true);
     }
   }
 
@@ -105,7 +105,7 @@
     for (int tries = 0; tries < 3; ++tries) {
       const std::size_t target = this->LeastLoaded(excluded);
       SlotGate& gate = this->gates[target];
-      const Duration wait = gate.ExpectedWait(0);
+      const Duration wait = gate.ExpectedWait(0, Instant::max(), this->now);
       if (tries > 0 && this->is_patient() &&
           !IsWorthAnotherTry({.answer_by = times.deadline,
                               .refused_wait = refused_wait,
@@ -140,7 +140,7 @@
   void EndLookup() {
     const std::uint64_t ticket = this->running.begin()->second;
     this->running.erase(this->running.begin());
-    this->gates[this->target_of[ticket]].Finish(kWork, true);
+    this->gates[this->target_of[ticket]].Finish(ticket, kWork, true);
     const std::size_t index = this->view_of[ticket];
     View& view = this->views[index];
     if (++view.lookups < kLookupsPerView) {
--- a/tests/harness/sidecar_vm.cpp
+++ b/tests/harness/sidecar_vm.cpp
@@ -181,7 +181,8 @@
       << R"("},"limits":)" << this->limits
       << R"(,"admission":{"patient_calls":true,)"
       << R"("account_turns":true,"fast_entry":true,"returns":true},)"
-      << R"("bounds":)" << this->bounds << "}}";
+      << R"("routing":{"by_cost":)" << (this->routes_by_cost ? "true" : "false")
+      << R"(},"bounds":)" << this->bounds << "}}";
   this->process.emplace(
       std::vector<std::string>{std::string(LYCHEEWELL_BIN_DIR) + "/lycheewelld",
                                "--settings", path},
