--- a/tests/core/account_turns_test.cpp
+++ b/tests/core/account_turns_test.cpp
@@ -171,6 +171,16 @@
   CHECK(entry.sender(0).served_fraction() == Approx(0.6).epsilon(0.1));
   CHECK(entry.sender(1).served_fraction() == Approx(0.2).epsilon(0.1));
 
+  SECTION("a granted request goes first whatever its account has had") {
+    AccountTurns turns;
+    for (int i = 0; i < 100; ++i) {
+      CHECK(turns.Offer({.account = "a",
+                         .admitted_fraction = 0.1,
+                         .is_granted = true,
+                         .goes_first = true},
+                        kStart, [] { return 0; }) == AccountVerdict::kAdmit);
+    }
+  }
   SECTION("what an absent account leaves is divided at once") {
     entry.SetRate(0, 0);
     entry.Simulate(5);
--- a/tests/core/demand_model_test.cpp
+++ b/tests/core/demand_model_test.cpp
@@ -368,3 +368,44 @@
                          320;
   CHECK(model.admitted_fraction("view") > 0.25 * overall);
 }
+
+// Requests that go first take the places of later ones: a route admits as many
+// as before.
+TEST_CASE("Requests that go first do not add to those that are admitted",
+          "[core][overload][turns]") {
+  DemandModel model(kStart);
+  RouteDemand counts;
+  model.Report("gate", "s", {});
+  model.SetSlots({{"s", 10}});
+  for (int second = 1; second <= 20; ++second) {
+    for (int i = 0; i < 1000; ++i) {
+      ++counts.offered;
+      if (model.Admit("r", 0)) {
+        ++counts.entered;
+        counts.work += milliseconds(20);
+      }
+    }
+    model.Report("gate", "s", {{"r", counts}});
+    model.Update(kStart + std::chrono::seconds(second));
+  }
+  const double fraction = model.admitted_fraction("r");
+  REQUIRE(fraction < 0.9);
+  int admitted = 0;
+  int admitted_first = 0;
+  for (int i = 0; i < 1000; ++i) {
+    const bool goes_first = i % 10 == 0;
+    const bool is_admitted = model.Admit("r", 0, goes_first);
+    admitted += is_admitted ? 1 : 0;
+    admitted_first += is_admitted && goes_first ? 1 : 0;
+  }
+  CHECK(admitted_first == 100);
+  CHECK(admitted == Approx(1000 * fraction).margin(7));
+
+  SECTION("a daemon admits only a few ahead of their time") {
+    int ahead = 0;
+    for (int i = 0; i < 1000; ++i) {
+      ahead += model.Admit("r", 0, true) ? 1 : 0;
+    }
+    CHECK(ahead == Approx(1000 * fraction).margin(7));
+  }
+}
