--- a/tests/sidecar/server_test.cpp
+++ b/tests/sidecar/server_test.cpp
@@ -30,6 +30,7 @@
   http::HeldMemoryPointer memory =
       std::make_shared<core::overload::HeldMemory>(32 * 1024 * 1024);
   std::vector<http::ConnectionCut> cuts;
+  core::overload::ConnectionBounds bounds{.usual = 1000, .most = 1100};
   std::vector<http::ExchangePointer> held;
   bool holds = false;
   http::Server server{
@@ -47,6 +48,7 @@
        .limits =
            [] { return http::ServerLimits{.body_bytes = 2 * 1024 * 1024}; },
        .on_bad_request = [](unsigned, std::string_view) {},
+       .connection_bounds = [this] { return this->bounds; },
        .body_budget = this->budget,
        .held = this->memory,
        .on_cut =
@@ -65,7 +67,11 @@
   asio::io_context context;
   tcp::socket socket{this->context};
 
-  Client() { this->socket.connect(io::http::ParseEndpoint(kAddress)); }
+  explicit Client(const char* address = "127.0.0.1") {
+    this->socket.open(tcp::v4());
+    this->socket.bind({asio::ip::make_address(address), 0});
+    this->socket.connect(io::http::ParseEndpoint(kAddress));
+  }
 
   void Request(std::size_t body_size = 0) {
     asio::write(this->socket,
@@ -204,6 +210,26 @@
   }
 }
 
+// Guards against a crowd that takes all connections, so that others wait.
+TEST_CASE("A crowd of one address leaves connections to others",
+          "[sidecar][server]") {
+  Fixture fixture;
+  fixture.bounds = {.usual = 16, .most = 18};
+  fixture.holds = true;
+  fixture.server.Start();
+  std::list<Client> crowd;
+  for (int i = 0; i < 15; ++i) {
+    crowd.emplace_back().Request();
+  }
+  fixture.RunFor(milliseconds(100));
+  REQUIRE(fixture.held.size() == 14);
+  CHECK(crowd.back().ReadAll().starts_with("HTTP/1.1 503"));
+  Client other("127.0.0.2");
+  other.Request();
+  fixture.RunFor(milliseconds(50));
+  CHECK(fixture.held.size() == 15);
+}
+
 // Guards against slow readers of long answers that together hold more than the
 // VM has.
 TEST_CASE("Answers that are not read count towards the bound",
