Routing by cost: the scale of work and speed is tied to the runs that answered

Cause: senders divide a measured run by its target's slowness relative to the mean over all targets of the service.

Change: the mean goes by the runs that answered this daemon.

--- a/packages/core/include/lycheewell/core/routing/target_selector.h
+++ b/packages/core/include/lycheewell/core/routing/target_selector.h
@@ -116,6 +116,8 @@
   // RecordDone. `work` is what it needs at a target of mean speed.
   void RecordSent(const std::string& member, Duration work = {});
   void RecordDone(const std::string& member);
+  // The member's target has answered a request of this daemon.
+  void RecordRun(const std::string& member);
 
   // The member refused a request and named the expected wait. The wait holds
   // for later requests, too.
@@ -144,8 +146,8 @@
   // Service of the member's target; empty when the member is unknown.
   std::string ServiceOf(const std::string& member) const;
 
-  // Slowness of the member's target relative to the mean of its service; 1 if
-  // it is not known.
+  // Slowness of the member's target relative to the mean of those of its
+  // service that answered this daemon lately; 1 if it is not known.
   double RelativeSlownessOf(const std::string& member) const;
 
   // Slots of all reachable targets that accept work, by service. Cold targets
@@ -216,11 +218,19 @@
   // Lowest mean work among the members' targets that accept work;
   // Duration::max() when none of them has reported any.
   double LowestMeanWorkNs(const std::set<std::string>& members) const;
-  // Mean over the members' targets that accept work and have reported it.
-  double MeanSlowness(const std::set<std::string>& members) const;
+  // Mean slowness of the service's targets, each by its recent runs for this
+  // daemon. A mean over all targets would let the scale of the learned work
+  // drift, since idle targets report none.
+  double RunSlownessOf(std::string_view service) const;
 
   std::map<std::string, Entry> entries;
+  struct MeanOfRuns {
+    double value = 0;
+    int runs = 0;
+  };
+
   std::map<std::string, std::set<std::string>, std::less<>> members_by_service;
+  std::map<std::string, MeanOfRuns, std::less<>> run_slowness;  // by service
   EvacuationShift evacuations;
 };
 
--- a/packages/core/src/routing/target_selector.cpp
+++ b/packages/core/src/routing/target_selector.cpp
@@ -65,6 +65,9 @@
 // A limit that rises by this factor is tried anew.
 constexpr double kNoticeableRise = 1.2;
 
+// Runs that the mean slowness of the targets in use covers.
+constexpr int kSlownessRuns = 50;
+
 // Random jitter added to each cost, so that daemons with the same load reports
 // do not all choose the same target among nearly equal ones.
 constexpr double kMaxJitterNs = 1e6;
@@ -361,18 +364,19 @@
   return estimate;
 }
 
-double TargetSelector::MeanSlowness(
-    const std::set<std::string>& members) const {
-  double sum = 0;
-  int count = 0;
-  for (const std::string& member : members) {
-    const Entry& entry = this->entries.at(member);
-    if (entry.target.accepts_work && entry.load.slowness > 0) {
-      sum += entry.load.slowness;
-      ++count;
-    }
+void TargetSelector::RecordRun(const std::string& member) {
+  const auto found = this->entries.find(member);
+  if (found == this->entries.end() || found->second.load.slowness <= 0) {
+    return;
   }
-  return count == 0 ? 1.0 : sum / count;
+  MeanOfRuns& mean = this->run_slowness[found->second.target.service];
+  mean.runs = std::min(mean.runs + 1, kSlownessRuns);
+  mean.value += (found->second.load.slowness - mean.value) / mean.runs;
+}
+
+double TargetSelector::RunSlownessOf(std::string_view service) const {
+  const auto found = this->run_slowness.find(service);
+  return found == this->run_slowness.end() ? 1.0 : found->second.value;
 }
 
 double TargetSelector::RelativeSlownessOf(const std::string& member) const {
@@ -381,9 +385,7 @@
     return 1;
   }
   return found->second.load.slowness /
-         this->MeanSlowness(
-             this->members_by_service.find(found->second.target.service)
-                 ->second);
+         this->RunSlownessOf(found->second.target.service);
 }
 
 double TargetSelector::LowestMeanWorkNs(
@@ -412,7 +414,7 @@
   const double lowest_mean_work_ns =
       options.demand ? 0 : this->LowestMeanWorkNs(members->second);
   const double mean_slowness =
-      options.demand ? this->MeanSlowness(members->second) : 1;
+      options.demand ? this->RunSlownessOf(service) : 1;
   const bool is_exploring = random() % kChoicesPerExploration == 0;
   for (const std::string& member : members->second) {
     Entry& entry = this->entries.at(member);
--- a/packages/sidecar/include/lycheewell/sidecar/requests/request_costs.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/request_costs.h
@@ -18,7 +18,7 @@
   struct Options {
     // While false, nothing is learned or expected.
     bool is_enabled = false;
-    const core::routing::TargetSelector& targets;
+    core::routing::TargetSelector& targets;
     DecisionLog& log;
     Counters& counters;
   };
--- a/packages/sidecar/src/requests/request_costs.cpp
+++ b/packages/sidecar/src/requests/request_costs.cpp
@@ -20,6 +20,7 @@
   if (!this->options.is_enabled || work <= core::Duration::zero()) {
     return;
   }
+  this->options.targets.RecordRun(member);
   const double slowness = this->options.targets.RelativeSlownessOf(member);
   this->model.Record(
       features, std::chrono::duration_cast<core::Duration>(work / slowness));
--- a/tests/core/cost_routing_test.cpp
+++ b/tests/core/cost_routing_test.cpp
@@ -280,6 +280,7 @@
     target.speed.Record(work, run.expected, this->now);
     const std::string member = std::to_string(run.target);
     sender.selector.RecordDone(member);
+    sender.selector.RecordRun(member);
     sender.model.Record(
         {.service = "s", .route = kind.route},
         Scale(work, 1 / sender.selector.RelativeSlownessOf(member)));
@@ -384,6 +385,34 @@
   }
 }
 
+// Guards against expectations that drift away together with the speeds that
+// are measured against them, where most targets of a service are idle.
+TEST_CASE("A wrong scale of work and speed heals", "[core][routing][cost]") {
+  constexpr int kTargets = 10;
+  constexpr milliseconds kWork{300};
+  const WorkFeatures features{.service = "s", .route = "r"};
+  TargetSelector selector;
+  WorkModel model;
+  TargetSpeed speed;
+  Instant now = kStart;
+  for (int i = 0; i < kTargets; ++i) {
+    const std::string member = std::to_string(i);
+    selector.Put(member, {.instance = member, .service = "s"}, now);
+    selector.RecordLoad(member, {.slowness = 1}, now);
+  }
+  model.Record(features, kWork * 12);
+  for (int run = 0; run < 400; ++run) {
+    now += milliseconds(20);
+    speed.Record(kWork, model.Expect(features).mean, now);
+    selector.RecordLoad("0", {.slowness = speed.Slowness(now)}, now);
+    selector.RecordRun("0");
+    model.Record(features, Scale(kWork, 1 / selector.RelativeSlownessOf("0")));
+  }
+  CHECK(model.Expect(features).mean < kWork * 1.2);
+  CHECK(model.Expect(features).mean > kWork * 0.8);
+  CHECK(speed.Slowness(now) == Approx(1).epsilon(0.2));
+}
+
 TEST_CASE("Running requests have work left by their age",
           "[core][overload][cost]") {
   OutstandingWork work;
