Review: show the broken link with a report from another writer

The adapter takes any bytes for an instance id.

Change: case 7 now uses a liveness report of another writer, a disruption that the users' pages name, instead of a client with an odd request id.

--- a/review/7/case.cc
+++ b/review/7/case.cc
@@ -1,6 +1,6 @@
-// A client's request id holds a byte that is no UTF-8, which HTTP allows in the
-// value of a header. Its daemon is being stopped in a planned way, and other
-// clients' requests are at work behind that daemon.
+// A liveness report comes from another writer: its instance id cannot be read.
+// A daemon is being stopped in a planned way, and its clients' requests are at
+// work at the backend of which the report seems to speak.
 #include "stage.h"
 
 namespace {
@@ -9,7 +9,7 @@
 constexpr int kClients = 10;
 constexpr milliseconds kWork{1'500};  // of an order
 constexpr milliseconds kAskBeforeStop{200};
-constexpr milliseconds kOddAfterStop{400};
+constexpr milliseconds kReportAfterStop{400};
 constexpr std::size_t kFront = 0;  // the daemon that is stopped
 
 struct Outcome {
@@ -86,18 +86,33 @@
     deployment.Stop(kFront);
     record.Line("it has ended");
   });
-  std::this_thread::sleep_until(stop_at + kOddAfterStop);
-  {
-    // "é" in ISO 8859-1.
-    const std::string id = HasTrouble() ? "commande-\xe9-1" : "commande-e-1";
-    const std::string shown = HasTrouble() ? "commande-(0xE9)-1" : id;
-    const Socket socket = Socket::Connect(front, 0, ip);
+  std::this_thread::sleep_until(stop_at + kReportAfterStop);
+  for (std::size_t machine = 1; machine <= 2; ++machine) {
+    // With the trouble the id is no text; without it the state is none.
+    const std::string id = HasTrouble() ? "i-\xff\xfe" : "i-other";
+    const std::string state = HasTrouble() ? "\"ready\"" : "7";
+    const auto born = std::chrono::duration_cast<milliseconds>(
+                          std::chrono::system_clock::now().time_since_epoch())
+                          .count();
+    const std::string body = "{\"address\":\"" + deployment.IpOf(machine) +
+                             ":1\",\"born\":" + std::to_string(born) +
+                             ",\"info\":{\"service\":\"orders\",\"version\":"
+                             "\"v1\",\"zone\":\"kochi-b\","
+                             "\"slots\":200},\"status\":{\"state\":" +
+                             state + ",\"seq\":1,\"cold_time\":\"0ms\"}}";
+    const Socket socket = Socket::Connect(deployment.Control(machine), 0,
+                                          deployment.IpOf(machine));
     Reader reader(socket);
-    record.Line("request " + shown + " sent");
-    socket.Write(RequestText({.target = "/stock/2", .id = id, .key = "key-1"}));
-    const auto answer = reader.Next(Clock::now() + seconds(6));
-    record.Line("request " + shown + ": status " +
-                std::to_string(answer ? answer->status() : 0));
+    socket.Write("POST /v1/instances/" + id +
+                 "/heartbeat HTTP/1.1\r\nHost: x\r\n"
+                 "Content-Type: application/json\r\nContent-Length: " +
+                 std::to_string(body.size()) + "\r\n\r\n" + body);
+    const auto answer = reader.Next(Clock::now() + seconds(2));
+    record.Line(
+        "report with " +
+        std::string(HasTrouble() ? "the id i-(0xFF)(0xFE)" : "the state 7") +
+        " to the daemon of " + deployment.NameOf(machine) + ": status " +
+        std::to_string(answer ? answer->status() : 0));
   }
   for (std::thread& client : clients) {
     client.join();
