Review: show daemons that each act as the owner of every account

Cause: a daemon that knows no other one takes itself for the owner of all accounts and grants their whole rates. The frontend waits for the manifest, but not for the members, which are in another topic of the store.

--- a/review/stage-2/stage.h
+++ b/review/stage-2/stage.h
@@ -382,6 +382,12 @@
     this->Append(topic, key, value);
   }
 
+  // That topic is down: calls for it get 503. The empty name: none is.
+  void SetDown(const std::string& topic) {
+    const std::lock_guard lock(this->mutex);
+    this->down_topic = topic;
+  }
+
   const Address address;
 
  private:
@@ -451,6 +457,10 @@
     const std::string topic = Query(target, "topic");
     const std::string json = "Content-Type: application/json\r\n";
     std::unique_lock lock(this->mutex);
+    if (!topic.empty() && topic == this->down_topic) {
+      lock.unlock();
+      return socket.Write(Answer(503, "", ""));
+    }
     if (path == "/v1/log-append") {
       const std::size_t first = this->topics[topic].records.size();
       const std::string& body = request.body;
@@ -509,6 +519,7 @@
   std::mutex mutex;
   std::condition_variable changed;
   std::atomic<bool> has_ended = false;
+  std::string down_topic;
   std::map<std::string, Topic> topics;
   std::unique_ptr<HttpServer> server;
 };
