Tests: plain sockets of stand-ins in a file of their own

Cause: a stand-in that writes broken answers needs the same sockets as the one that shows its work.

Change: raw_socket.{h,cpp} takes them over from working_target.cpp. Moved, behaviour unchanged; the port's message is the same.

--- a/tests/harness/working_target.cpp
+++ b/tests/harness/working_target.cpp
@@ -1,7 +1,5 @@
 #include "harness/working_target.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -9,7 +7,8 @@
 #include <algorithm>
 #include <array>
 #include <iterator>
-#include <stdexcept>
+
+#include "harness/raw_socket.h"
 
 namespace lycheewell::harness {
 namespace {
@@ -20,55 +19,16 @@
 // Small, so that a large body does not fit.
 constexpr int kReceiveBufferBytes = 16 * 1024;
 
-sockaddr_in Loopback(int port) {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(static_cast<std::uint16_t>(port));
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  return address;
-}
-
 // Returns whether the peer has closed or reset the connection within the time.
 bool IsClosedWithin(int connection, int wait_ms) {
   pollfd watched{.fd = connection, .events = POLLRDHUP, .revents = 0};
   return poll(&watched, 1, wait_ms) > 0;
 }
 
-void SendAll(int connection, const std::string& bytes) {
-  std::size_t sent = 0;
-  while (sent < bytes.size()) {
-    const ssize_t count = send(connection, bytes.data() + sent,
-                               bytes.size() - sent, MSG_NOSIGNAL);
-    if (count <= 0) {
-      return;  // the next poll shows the closed connection
-    }
-    sent += static_cast<std::size_t>(count);
-  }
-}
-
 }  // namespace
 
-std::string HeaderOf(const std::string& head, const std::string& name) {
-  const std::size_t found = head.find("\r\n" + name + ": ");
-  if (found == std::string::npos) {
-    return "";
-  }
-  const std::size_t begin = found + name.size() + 4;
-  return head.substr(begin, head.find("\r\n", begin) - begin);
-}
-
 WorkingTarget::WorkingTarget(int port)
-    : listener(socket(AF_INET, SOCK_STREAM, 0)) {
-  const int on = 1;
-  setsockopt(this->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  setsockopt(this->listener, SOL_SOCKET, SO_RCVBUF, &kReceiveBufferBytes,
-             sizeof kReceiveBufferBytes);
-  const sockaddr_in address = Loopback(port);
-  if (bind(this->listener, reinterpret_cast<const sockaddr*>(&address),
-           sizeof address) != 0 ||
-      listen(this->listener, SOMAXCONN) != 0) {
-    throw std::runtime_error("cannot listen on port " + std::to_string(port));
-  }
+    : listener(ListenOnLoopback(port, kReceiveBufferBytes)) {
   this->acceptor = std::thread([this] { this->Accept(); });
 }
 
--- a/tests/harness/working_target.h
+++ b/tests/harness/working_target.h
@@ -12,9 +12,6 @@
 
 namespace lycheewell::harness {
 
-// The value of a header in the head of a message; empty if it is missing.
-std::string HeaderOf(const std::string& head, const std::string& name);
-
 class WorkingTarget {
  public:
   explicit WorkingTarget(int port);
--- a/tests/soak/target.cpp
+++ b/tests/soak/target.cpp
@@ -12,7 +12,7 @@
 #include <chrono>
 #include <functional>
 
-#include "harness/working_target.h"
+#include "harness/raw_socket.h"
 
 namespace lycheewell::soak {
 namespace asio = boost::asio;
