Target and store connections: a reset during a write ends no answer

What callers saw: a target answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The client got the part as the whole answer.

Cause: the kernel reports a socket's error once. If the write takes it, the next read returns an end of stream that the target has not sent, and the answer without a length counted as complete. The same connection serves the liveness checks and the store.

Change: a connection remembers that a write took its error. Its end of stream then completes no answer: the exchange is broken, which may have run. After the target's own end of stream writes fail with a broken pipe, so an orderly answer that is followed by a reset still passes. The end of stream is handled behind the completions that are queued by then, since the write's may be queued after the read's.

Answers with a length or chunked that end early, and sound answers of all three shapes, were handled already.

--- a/packages/sidecar/include/lycheewell/sidecar/http/client_connection.h
+++ b/packages/sidecar/include/lycheewell/sidecar/http/client_connection.h
@@ -88,7 +88,9 @@
   void Connect();
   void Write();
   void Read();
+  // `at_end`: the peer has ended its stream in order.
   void Consume(bool at_end);
+  void OnEndOfStream();
   // Closes the connection if it received bytes that belong to no exchange.
   void CloseOnStrayBytes();
   void CompleteResponse();
@@ -110,6 +112,10 @@
   bool sent_any = false;
   bool writing = false;
   bool must_close = false;
+  // A write took the socket's error, for example a reset. The kernel reports it
+  // once, so reads then see an end of stream that the peer has not sent. After
+  // the peer's own end of stream writes fail with a broken pipe instead.
+  bool is_broken = false;
 };
 
 }  // namespace lycheewell::sidecar::http
--- a/packages/sidecar/src/http/client_connection.cpp
+++ b/packages/sidecar/src/http/client_connection.cpp
@@ -107,6 +107,7 @@
                       if (error && !self->closed) {
                         // The response may still arrive before the close.
                         self->must_close = true;
+                        self->is_broken = error != asio::error::broken_pipe;
                       }
                       if (self->must_close && !self->current) {
                         self->CloseSocket();
@@ -127,12 +128,15 @@
           self->Fail(error.message());
           return;
         }
-        self->must_close = self->must_close || error;
-        self->Consume(error == asio::error::eof);
         if (error) {
-          self->Fail("the connection was closed");
+          self->must_close = true;
+          // A write that has failed by now reports it before this.
+          asio::post(self->socket.get_executor(),
+                     [self] { self->OnEndOfStream(); });
           return;
         }
+        constexpr bool kAtEnd = false;
+        self->Consume(kAtEnd);
         self->CloseOnStrayBytes();
         if (!self->closed) {
           self->Read();
@@ -140,6 +144,15 @@
       });
 }
 
+void ClientConnection::OnEndOfStream() {
+  if (this->closed) {
+    return;
+  }
+  this->Consume(!this->is_broken);
+  this->Fail(this->is_broken ? "the connection broke"
+                             : "the connection was closed");
+}
+
 void ClientConnection::CloseOnStrayBytes() {
   if (!this->current && this->buffer.size() > 0) {
     this->CloseSocket();
--- /dev/null
+++ b/tests/sidecar/broken_answer_test.cpp
@@ -0,0 +1,301 @@
+// What clients get when a target's answer is broken: real daemons, with a
+// stand-in for a target that writes prescribed bytes.
+#include <signal.h>
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <future>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "harness/raw_target.h"
+#include "harness/sidecar_vm.h"
+
+namespace {
+using namespace lycheewell;
+using harness::AnswerEnd;
+using harness::Eventually;
+using harness::kFirstSidecarPort;
+using harness::RawAnswer;
+using harness::RawTarget;
+using harness::Reply;
+using harness::SendRequest;
+using harness::SidecarManifest;
+using harness::Store;
+using Vm = harness::SidecarVm;
+using io::http::Verb;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kUploadBytes = 4 * 1024 * 1024;
+constexpr milliseconds kClientLimit{5000};
+constexpr int kClientsAtATime = 6;
+constexpr int kSlots = 16;
+constexpr milliseconds kReportPeriod{300};
+
+const std::string kUnsafe = "/long/raw/1";
+const std::string kSafe = "/scan/raw/1";
+
+// The head of an answer without the lines that say where its body ends.
+const std::string kHead =
+    "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: signed\r\n";
+const std::string kUntilClose = kHead + "\r\n";
+const std::string kChunked = kHead + "Transfer-Encoding: chunked\r\n\r\n";
+
+std::string WithLength(std::size_t length, const std::string& body) {
+  return kHead + "Content-Length: " + std::to_string(length) + "\r\n\r\n" +
+         body;
+}
+
+std::string ManifestForUploads() {
+  std::string manifest = SidecarManifest(1, R"("k1")");
+  return manifest.insert(1, R"("limits":{"maxBodyBytes":8388608},)");
+}
+
+// Two VMs. Requests enter at the first one.
+struct Fixture {
+  Store store{kFirstSidecarPort};
+  Vm first{0};
+  Vm second{1};
+  std::optional<RawTarget> near;
+  std::optional<RawTarget> far;
+  std::atomic<bool> has_ended = false;
+  std::vector<std::thread> reporters;
+
+  Fixture() {
+    signal(SIGPIPE, SIG_IGN);
+    this->store.PutManifest(ManifestForUploads());
+    this->first.target.reset();
+    this->second.target.reset();
+    this->near.emplace(this->first.base_port + 3);
+    this->far.emplace(this->second.base_port + 3);
+    REQUIRE(Eventually(
+        [&] { return this->first.IsReady() && this->second.IsReady(); }));
+  }
+
+  ~Fixture() {
+    this->has_ended = true;
+    for (std::thread& reporter : this->reporters) {
+      reporter.join();
+    }
+  }
+
+  // Announces the target of `vm` from now on; returns when requests run.
+  void Announce(Vm& vm) {
+    this->reporters.emplace_back([this, &vm] {
+      for (int report = 1; !this->has_ended; ++report) {
+        vm.AnnounceAs(1, report, "ready", kSlots);
+        std::this_thread::sleep_for(kReportPeriod);
+      }
+    });
+    this->AwaitSoundAnswer();
+  }
+
+  void AwaitSoundAnswer() {
+    REQUIRE(Eventually([this] {
+      return this->first.Call("/look/1", "k1", Verb::get).status == 200;
+    }));
+  }
+
+  Reply Send(const std::string& path, const std::string& body) {
+    return SendRequest(this->first.base_port, Verb::post, path, "k1", body,
+                       kClientLimit);
+  }
+
+  // Sends requests until the target has answered one, on a connection of the
+  // wanted kind. Those that it has not seen must be refused as not run.
+  Reply SendUntilRun(RawTarget& target, const std::string& path,
+                     const std::string& body, bool on_kept_connection) {
+    Reply reply;
+    REQUIRE(Eventually(
+        [&] {
+          const int runs = target.runs();
+          const int kept = target.runs_on_kept_connections();
+          if (on_kept_connection) {
+            this->AwaitSoundAnswer();
+          }
+          reply = this->Send(path, body);
+          if (target.runs() == runs) {
+            CHECK(reply.status == 503);
+            return false;
+          }
+          CHECK(target.runs() == runs + 1);
+          return !on_kept_connection ||
+                 target.runs_on_kept_connections() > kept;
+        },
+        seconds(20)));
+    return reply;
+  }
+
+  void CheckIsFailure(RawTarget& target, const RawAnswer& answer,
+                      const std::string& body) {
+    CAPTURE(answer.bytes, answer.end, answer.is_early,
+            answer.end_delay.count());
+    target.SetAnswer(answer);
+    for (const bool on_kept_connection : {false, true}) {
+      CAPTURE(on_kept_connection);
+      const Reply reply =
+          this->SendUntilRun(target, kUnsafe, body, on_kept_connection);
+      CHECK(reply.status == 502);
+      CHECK(reply.signature.empty());
+    }
+  }
+
+  void CheckIsWhole(RawTarget& target, const RawAnswer& answer,
+                    const std::string& body, const std::string& expected) {
+    CAPTURE(answer.bytes, answer.end, answer.is_early,
+            answer.end_delay.count());
+    target.SetAnswer(answer);
+    for (const bool on_kept_connection : {false, true}) {
+      CAPTURE(on_kept_connection);
+      const Reply reply =
+          this->SendUntilRun(target, kUnsafe, body, on_kept_connection);
+      CHECK(reply.status == 200);
+      CHECK(reply.signature == "signed");
+      CHECK(reply.body == expected);
+    }
+  }
+};
+
+// Parts of answers, by how the end of the whole one would be decided.
+std::vector<std::string> Parts() {
+  return {WithLength(100, "part"),         WithLength(100, ""),
+          kChunked + "4\r\npart\r\n",      kChunked + "64\r\npart",
+          kChunked + "4\r\npart\r\n0\r\n", kHead};
+}
+
+}  // namespace
+
+// Guards against a part of an answer that a client takes for the whole one.
+TEST_CASE("A part of an answer never looks whole", "[sidecar][broken-answer]") {
+  Fixture fixture;
+  const bool is_beside = GENERATE(true, false);
+  CAPTURE(is_beside);
+  RawTarget& target = is_beside ? *fixture.near : *fixture.far;
+  fixture.Announce(is_beside ? fixture.first : fixture.second);
+  const std::string upload(kUploadBytes, 'u');
+
+  SECTION("if it has no length and the connection is reset") {
+    for (const bool is_early : {true, false}) {
+      for (const milliseconds delay : {milliseconds(0), milliseconds(50)}) {
+        for (const char* part : {"", "part"}) {
+          fixture.CheckIsFailure(target,
+                                 {.bytes = kUntilClose + part,
+                                  .end = AnswerEnd::kReset,
+                                  .is_early = is_early,
+                                  .end_delay = delay},
+                                 is_early ? upload : "small");
+        }
+      }
+    }
+  }
+  SECTION("if its framing says more, however the connection ends") {
+    for (const std::string& part : Parts()) {
+      for (const AnswerEnd end :
+           {AnswerEnd::kHalfClose, AnswerEnd::kClose, AnswerEnd::kReset}) {
+        for (const bool is_early : {true, false}) {
+          fixture.CheckIsFailure(
+              target, {.bytes = part, .end = end, .is_early = is_early},
+              is_early ? upload : "small");
+        }
+      }
+    }
+  }
+  SECTION("for any of many clients at a time") {
+    target.SetAnswer({.bytes = kUntilClose + "part",
+                      .end = AnswerEnd::kReset,
+                      .is_early = true,
+                      .end_delay = milliseconds(20)});
+    std::vector<std::future<Reply>> replies;
+    for (int i = 0; i < kClientsAtATime; ++i) {
+      replies.push_back(std::async(
+          std::launch::async, [&] { return fixture.Send(kUnsafe, upload); }));
+    }
+    int failed = 0;
+    for (auto& reply : replies) {
+      const unsigned status = reply.get().status;
+      CAPTURE(status);
+      CHECK((status == 502 || status == 503));
+      failed += status == 502 ? 1 : 0;
+    }
+    CHECK(target.runs() == failed);
+    CHECK(failed > 0);
+  }
+  SECTION("while whole answers of the same shapes reach the client") {
+    for (const bool is_early : {true, false}) {
+      const std::string& body = is_early ? upload : std::string("small");
+      for (const AnswerEnd end : {AnswerEnd::kHalfClose, AnswerEnd::kClose}) {
+        for (const milliseconds delay : {milliseconds(0), milliseconds(50)}) {
+          fixture.CheckIsWhole(target,
+                               {.bytes = kUntilClose + "whole",
+                                .end = end,
+                                .is_early = is_early,
+                                .end_delay = delay},
+                               body, "whole");
+        }
+      }
+      for (const AnswerEnd end : {AnswerEnd::kKeepOpen, AnswerEnd::kHalfClose,
+                                  AnswerEnd::kClose, AnswerEnd::kReset}) {
+        for (const std::string& whole :
+             {WithLength(5, "whole"), kChunked + "5\r\nwhole\r\n0\r\n\r\n"}) {
+          fixture.CheckIsWhole(
+              target, {.bytes = whole, .end = end, .is_early = is_early}, body,
+              "whole");
+        }
+      }
+    }
+  }
+}
+
+// Guards against a retry that hides a broken answer or runs what must not be
+// repeated.
+TEST_CASE("A safe request with a broken answer is tried elsewhere",
+          "[sidecar][broken-answer]") {
+  Fixture fixture;
+  fixture.Announce(fixture.first);
+  fixture.Announce(fixture.second);
+  const std::string upload(kUploadBytes, 'u');
+  const RawAnswer part{.bytes = kUntilClose + "part",
+                       .end = AnswerEnd::kReset,
+                       .is_early = true,
+                       .end_delay = milliseconds(20)};
+  const RawAnswer whole{.bytes = WithLength(5, "whole")};
+  const auto runs = [&] { return fixture.near->runs() + fixture.far->runs(); };
+
+  SECTION("and its client gets the whole answer of the second try") {
+    fixture.near->SetAnswer(part);
+    fixture.far->SetAnswer(whole);
+    REQUIRE(Eventually(
+        [&] {
+          const int broken = fixture.near->runs();
+          const Reply reply = fixture.Send(kSafe, upload);
+          CHECK((reply.status == 503 || reply.body == "whole"));
+          return fixture.near->runs() > broken && reply.status == 200;
+        },
+        seconds(20)));
+  }
+  SECTION("and fails if the second answer is broken as well") {
+    fixture.near->SetAnswer(part);
+    fixture.far->SetAnswer(part);
+    REQUIRE(Eventually(
+        [&] {
+          const int before = runs();
+          const Reply reply = fixture.Send(kSafe, upload);
+          CHECK(reply.status == (runs() == before ? 503 : 502));
+          return runs() == before + 2;
+        },
+        seconds(20)));
+  }
+  SECTION("but an unsafe one is not") {
+    fixture.near->SetAnswer(part);
+    fixture.far->SetAnswer(part);
+    for (int i = 0; i < 4; ++i) {
+      const int before = runs();
+      const Reply reply = fixture.Send(kUnsafe, upload);
+      CHECK(reply.status == (runs() == before ? 503 : 502));
+      CHECK(runs() <= before + 1);
+    }
+  }
+}
--- a/tests/sidecar/client_connection_test.cpp
+++ b/tests/sidecar/client_connection_test.cpp
@@ -41,6 +41,16 @@
 
   tcp::endpoint endpoint() const { return this->acceptor.local_endpoint(); }
 
+  // Leaves bytes unread, so that a long request is still being written.
+  void StopReading() { this->is_reading = false; }
+
+  void Reset() {
+    this->socket.set_option(asio::socket_base::linger(true, 0));
+    this->socket.close();
+  }
+
+  void EndStream() { this->socket.shutdown(tcp::socket::shutdown_send); }
+
   void Write(const std::string& bytes) {
     boost::system::error_code ignored;
     asio::write(this->socket, asio::buffer(bytes), ignored);
@@ -80,13 +90,16 @@
             return;
           }
           this->received.append(this->bytes.data(), size);
-          this->Receive();
+          if (this->is_reading) {
+            this->Receive();
+          }
         });
   }
 
   tcp::acceptor acceptor;
   tcp::socket socket;
   std::array<char, 4096> bytes{};
+  bool is_reading = true;
 };
 
 // Matches the request id; an answer without one matches nothing.
@@ -104,10 +117,10 @@
                                                this->peer.endpoint());
   std::optional<http::ExchangeOutcome> outcome;
 
-  void Send(const std::string& id) {
+  void Send(const std::string& id, const std::string& body = "") {
     this->outcome.reset();
     this->connection->Start(
-        {.message = "GET / HTTP/1.1\r\nRequest-Id: " + id + "\r\n\r\n",
+        {.message = "GET / HTTP/1.1\r\nRequest-Id: " + id + "\r\n\r\n" + body,
          .is_matching_response = Matches(id),
          .done = [this](http::ExchangeOutcome result) {
            this->outcome = std::move(result);
@@ -136,9 +149,45 @@
 };
 
 constexpr std::size_t kEndless = 256ULL * 1024 * 1024;
+// More than the kernel's buffers on both sides of a connection hold.
+constexpr std::size_t kLongRequestBytes = 32ULL * 1024 * 1024;
 
 }  // namespace
 
+// Guards against a part of an answer that is taken for the whole one, from a
+// target or from the store.
+TEST_CASE("Only the peer's own end of stream ends an answer without a length",
+          "[sidecar][connection]") {
+  Fixture fixture;
+  fixture.peer.StopReading();
+  const bool is_being_written = GENERATE(true, false);
+  CAPTURE(is_being_written);
+  fixture.Send("r1",
+               std::string(is_being_written ? kLongRequestBytes : 0, 'u'));
+  REQUIRE(fixture.RunUntil([&] { return !fixture.peer.received.empty(); }));
+  fixture.peer.Write("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\nbody");
+
+  SECTION("an end of stream does") {
+    fixture.peer.EndStream();
+    REQUIRE(fixture.RunUntil([&] { return fixture.outcome.has_value(); }));
+    CHECK(fixture.Body() == "body");
+  }
+  SECTION("a reset behind an end of stream changes nothing") {
+    fixture.peer.EndStream();
+    fixture.peer.Reset();
+    REQUIRE(fixture.RunUntil([&] { return fixture.outcome.has_value(); }));
+    CHECK(fixture.Body() == "body");
+  }
+  SECTION("a reset does not, before or after the bytes have been read") {
+    const bool is_read = GENERATE(true, false);
+    CAPTURE(is_read);
+    fixture.RunUntil([] { return false; }, milliseconds(is_read ? 50 : 0));
+    fixture.peer.Reset();
+    REQUIRE(fixture.RunUntil([&] { return fixture.outcome.has_value(); }));
+    CHECK(fixture.has_failed());
+  }
+}
+
 TEST_CASE("A connection gives each request its own answer",
           "[sidecar][connection]") {
   Fixture fixture;
