Clients: a line that begins with a blank is a malformed answer

What callers saw: a target in trouble sent a header line whose name began with a blank, for example " Content-Length: 2". The client got the answer with the line glued to the value of the line before, such as the target's signature. The operators' client showed such an answer, too, and a trailer line did the same.

Cause: Beast takes the line for an obsolete fold (RFC 9112, 5.2) and joins it with the line before. Nothing tells a fold from a name that holds a blank, and a gateway may discard a folded answer.

Change: ParseResponse() gives Beast the head, the pieces of the body and the trailer one at a time and refuses a header or trailer line that begins with a blank. Both clients read through it: the connections to targets and to the store, with the liveness checks, and the client of the own path, of the log and of the operators. The client shows and counts it as a broken exchange.

Handled already, with a test each now: a status of 000, and all other names with blanks or control bytes, in all framings, early or not, on new and kept connections, beside the target and from another VM; cut answers in the other client.

--- a/packages/io/src/http/client.cpp
+++ b/packages/io/src/http/client.cpp
@@ -12,6 +12,7 @@
 #include <boost/beast/core.hpp>
 
 #include "lycheewell/io/http/address.h"
+#include "lycheewell/io/http/parse_response.h"
 #include "lycheewell/io/http/status.h"
 
 namespace lycheewell::io::http {
@@ -24,6 +25,7 @@
 constexpr auto kTokens = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t kMostIdleConnections = 256;
 constexpr int kMostInterimAnswers = 16;
+constexpr std::size_t kReadSize = 16 * 1024;
 constexpr auto kConnectTimeout = std::chrono::milliseconds(500);
 
 using Strand = asio::strand<asio::io_context::executor_type>;
@@ -89,6 +91,32 @@
   return {ExchangeErrorKind::kBroken, error.message()};
 }
 
+// Reads a whole response, or the head of one that has no length or no status.
+template <typename ConnectionPointer>
+asio::awaitable<boost::system::error_code> ReadResponse(
+    ConnectionPointer connection, ResponseParser& parser) {
+  for (;;) {
+    const auto error = ParseResponse(parser, connection->buffer);
+    const bool is_complete =
+        parser.is_done() ||
+        (parser.is_header_done() &&
+         (parser.need_eof() ||
+          KindOf(parser.get().result_int()) == StatusKind::kNone));
+    if (error || is_complete) {
+      co_return error;
+    }
+    auto [read_error, size] = co_await connection->stream.async_read_some(
+        connection->buffer.prepare(kReadSize), kTokens);
+    if (read_error == asio::error::eof) {
+      co_return beast::http::error::partial_message;
+    }
+    if (read_error) {
+      co_return read_error;
+    }
+    connection->buffer.commit(size);
+  }
+}
+
 // Connects, sends and receives on the connection's strand.
 template <typename ConnectionPointer>
 asio::awaitable<ExchangeResult> RunExchange(
@@ -119,13 +147,12 @@
     co_return MakeError(*connection, write_error);
   }
   for (int interim = 0; interim <= kMostInterimAnswers; ++interim) {
-    beast::http::response_parser<beast::http::string_body> parser;
+    ResponseParser parser;
     parser.body_limit(body_limit);
     parser.skip(request.method() == Verb::head);
-    auto [head_error, head_size] = co_await beast::http::async_read_header(
-        stream, connection->buffer, parser, kTokens);
-    if (head_error) {
-      co_return MakeError(*connection, head_error);
+    const auto read_error = co_await ReadResponse(connection, parser);
+    if (read_error) {
+      co_return MakeError(*connection, read_error);
     }
     const unsigned status = parser.get().result_int();
     const StatusKind kind = KindOf(status);
@@ -136,11 +163,6 @@
       co_return ExchangeError{ExchangeErrorKind::kBroken,
                               "answer with status " + std::to_string(status)};
     }
-    auto [read_error, read] = co_await beast::http::async_read(
-        stream, connection->buffer, parser, kTokens);
-    if (read_error) {
-      co_return MakeError(*connection, read_error);
-    }
     // A body that ends with the connection has no length to check it against.
     if (parser.need_eof()) {
       co_return ExchangeError{ExchangeErrorKind::kBroken,
--- a/packages/sidecar/include/lycheewell/sidecar/http/client_connection.h
+++ b/packages/sidecar/include/lycheewell/sidecar/http/client_connection.h
@@ -5,8 +5,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -15,6 +13,7 @@
 
 #include "lycheewell/core/types.h"
 #include "lycheewell/io/http/message.h"
+#include "lycheewell/io/http/parse_response.h"
 #include "lycheewell/sidecar/http/byte_budget.h"
 
 namespace lycheewell::sidecar::http {
@@ -82,9 +81,6 @@
   }
 
  private:
-  using Parser =
-      boost::beast::http::response_parser<boost::beast::http::string_body>;
-
   void Connect();
   void Write();
   void Read();
@@ -100,7 +96,7 @@
   boost::asio::ip::tcp::socket socket;
   boost::asio::ip::tcp::endpoint endpoint;
   boost::beast::flat_buffer buffer;
-  std::optional<Parser> parser;
+  std::optional<io::http::ResponseParser> parser;
   std::optional<Exchange> current;
   std::shared_ptr<std::string> outgoing;
   std::optional<std::chrono::seconds> idle_timeout;
--- a/packages/sidecar/src/http/client_connection.cpp
+++ b/packages/sidecar/src/http/client_connection.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/write.hpp>
 #include <charconv>
 
+#include "lycheewell/io/http/parse_response.h"
 #include "lycheewell/io/http/status.h"
 #include "lycheewell/sidecar/clock.h"
 #include "lycheewell/sidecar/http/socket_options.h"
@@ -166,22 +167,12 @@
         return;
       }
       this->parser.emplace();
-      this->parser->eager(true);
       this->parser->skip(this->current->is_head);
       this->parser->header_limit(kMaxResponseHeaderBytes);
       this->parser->body_limit(kMaxResponseBodyBytes);
     }
-    beast::error_code error;
-    while (this->buffer.size() > 0 && !this->parser->is_done()) {
-      const std::size_t used = this->parser->put(this->buffer.data(), error);
-      this->buffer.consume(used);
-      if (error || used == 0) {
-        break;
-      }
-    }
-    if (error == beast::http::error::need_more) {
-      error = {};
-    }
+    beast::error_code error =
+        io::http::ParseResponse(*this->parser, this->buffer);
     if (!error && at_end && !this->parser->is_done() &&
         this->parser->is_header_done() && this->parser->need_eof()) {
       this->parser->put_eof(error);
--- a/tests/harness/raw_target.cpp
+++ b/tests/harness/raw_target.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 #include "harness/raw_socket.h"
 
@@ -36,8 +37,9 @@
 
 }  // namespace
 
-RawTarget::RawTarget(int port)
-    : listener(ListenOnLoopback(port, kReceiveBufferBytes)) {
+RawTarget::RawTarget(int port, std::string new_raw_path)
+    : listener(ListenOnLoopback(port, kReceiveBufferBytes)),
+      raw_path(std::move(new_raw_path)) {
   this->acceptor = std::thread([this] { this->Accept(); });
 }
 
@@ -91,7 +93,7 @@
       const std::string head = bytes.substr(0, end + 4);
       const std::string length = HeaderOf(head, "Content-Length");
       const std::size_t body = length.empty() ? 0 : std::stoul(length);
-      const bool is_raw = head.find("/raw/") < head.find("\r\n");
+      const bool is_raw = head.find(this->raw_path) < head.find("\r\n");
       const bool is_early = is_raw && this->CurrentAnswer().is_early;
       if (is_early || bytes.size() >= head.size() + body) {
         bytes.erase(0, head.size());
--- a/tests/harness/raw_target.h
+++ b/tests/harness/raw_target.h
@@ -34,10 +34,11 @@
   bool operator==(const RawAnswer&) const = default;
 };
 
-// Answers "done" to requests whose path does not contain "/raw/".
+// Gives the prescribed answer to requests whose path contains `raw_path`, and
+// "done" to all others.
 class RawTarget {
  public:
-  explicit RawTarget(int port);
+  explicit RawTarget(int port, std::string raw_path = "/raw/");
   ~RawTarget();
 
   RawTarget(const RawTarget&) = delete;
@@ -45,7 +46,6 @@
 
   // Commands.
 
-  // The answer to requests whose path contains "/raw/".
   void SetAnswer(const RawAnswer& new_answer);
 
   // Queries.
@@ -63,6 +63,7 @@
   RawAnswer CurrentAnswer();
 
   int listener = -1;
+  std::string raw_path;
   std::mutex mutex;
   RawAnswer answer;
   std::atomic<int> raw_runs = 0;
--- a/tests/process/client_test.cpp
+++ b/tests/process/client_test.cpp
@@ -2,6 +2,7 @@
 #include <catch2/catch.hpp>
 
 #include "harness/fleet.h"
+#include "harness/raw_target.h"
 
 namespace {
 
@@ -80,6 +81,46 @@
   }
 }
 
+// Guards against an operator who is shown a broken answer as the fleet's state.
+TEST_CASE("the client shows no broken answer", "[process][client]") {
+  constexpr int kPort = 21'390;
+  RawTarget daemon(kPort, "/");
+  const std::string body = R"({"members":[],"in_force":1})";
+  const std::string length =
+      "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  const auto ask = [&](const std::string& bytes, AnswerEnd end) {
+    daemon.SetAnswer({.bytes = bytes, .end = end});
+    return RunCommand({Program("lycheewell"), "status", "--json", "--daemon",
+                       "127.0.0.1:" + std::to_string(kPort), "--token", "x"});
+  };
+
+  SECTION("one without a status, with a malformed name, or cut") {
+    for (const std::string& head :
+         {"HTTP/1.1 000 Trouble\r\n" + length,
+          "HTTP/1.1 200 OK\r\nX Line: 1\r\n" + length,
+          "HTTP/1.1 200 OK\r\nX-Line: 1\r\n X-Line: 2\r\n" + length,
+          "HTTP/1.1 200 OK\r\nX\x01Line: 1\r\n" + length,
+          std::string("HTTP/1.1 200 OK\r\nContent-Length: 999\r\n")}) {
+      CAPTURE(head);
+      const auto result = ask(head + "\r\n" + body, AnswerEnd::kHalfClose);
+      CHECK(result.exit_code == 1);
+      CHECK_FALSE(Contains(result, "in_force"));
+    }
+  }
+  SECTION("one that a reset ends") {
+    const auto result =
+        ask("HTTP/1.1 200 OK\r\n\r\n" + body, AnswerEnd::kReset);
+    CHECK(result.exit_code == 1);
+    CHECK_FALSE(Contains(result, "in_force"));
+  }
+  SECTION("but a whole one") {
+    const auto result = ask("HTTP/1.1 200 OK\r\n" + length + "\r\n" + body,
+                            AnswerEnd::kKeepOpen);
+    CHECK(result.exit_code == 0);
+    CHECK(Contains(result, "in_force"));
+  }
+}
+
 TEST_CASE("a daemon tells what is wrong with its settings",
           "[process][client]") {
   const CommandResult missing = RunCommand(
--- a/tests/sidecar/broken_answer_test.cpp
+++ b/tests/sidecar/broken_answer_test.cpp
@@ -166,6 +166,25 @@
           kChunked + "4\r\npart\r\n0\r\n", kHead};
 }
 
+std::vector<std::string> HeadsWithMalformedNames() {
+  std::vector<std::string> lines = {
+      "X Line: 1",  "X-Line : 1",  " X-Line: 1",   "\tX-Line: 1",
+      "X\tLine: 1", "X-Line\t: 1", "X\x01Line: 1", "X\x7fLine: 1",
+      "X\rLine: 1", "X\nLine: 1",  ": 1",          "X-Line"};
+  lines.push_back(std::string("X\0Line: 1", 9));
+  for (const char* name :
+       {"Content-Length ", " Content-Length", "Content\tLength"}) {
+    lines.push_back(std::string(name) + ": 2");
+  }
+  std::vector<std::string> heads;
+  for (const std::string& line : lines) {
+    heads.push_back("HTTP/1.1 200 OK\r\n" + line + "\r\n" +
+                    kHead.substr(kHead.find("\r\n") + 2));
+    heads.push_back(kHead + line + "\r\n");
+  }
+  return heads;
+}
+
 }  // namespace
 
 // Guards against a part of an answer that a client takes for the whole one.
@@ -299,3 +318,71 @@
     }
   }
 }
+
+// Guards against answers that are none and reach a client, and against bodies
+// that end where a malformed line says.
+TEST_CASE("A malformed answer is a failure of its target",
+          "[sidecar][broken-answer]") {
+  Fixture fixture;
+  const bool is_beside = GENERATE(true, false);
+  CAPTURE(is_beside);
+  RawTarget& target = is_beside ? *fixture.near : *fixture.far;
+  fixture.Announce(is_beside ? fixture.first : fixture.second);
+  const std::string upload(kUploadBytes, 'u');
+
+  const auto check_all_framings = [&](const std::string& head) {
+    struct Framing {
+      std::string rest;
+      AnswerEnd end = AnswerEnd::kKeepOpen;
+    };
+    for (const auto& [rest, end] :
+         {Framing{"Content-Length: 4\r\n\r\nbody"},
+          Framing{"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"},
+          Framing{"\r\nbody", AnswerEnd::kHalfClose}}) {
+      fixture.CheckIsFailure(target, {.bytes = head + rest, .end = end},
+                             "small");
+    }
+    fixture.CheckIsFailure(
+        target,
+        {.bytes = head + "Content-Length: 4\r\n\r\nbody", .is_early = true},
+        upload);
+  };
+
+  SECTION("if its status is 000") {
+    check_all_framings("HTTP/1.1 000 Trouble\r\n" +
+                       kHead.substr(kHead.find("\r\n") + 2));
+    check_all_framings("HTTP/1.1 000 \r\n" +
+                       kHead.substr(kHead.find("\r\n") + 2));
+  }
+  SECTION("if a field's name holds a blank or a control byte") {
+    for (const std::string& head : HeadsWithMalformedNames()) {
+      fixture.CheckIsFailure(
+          target, {.bytes = head + "Content-Length: 4\r\n\r\nbody"}, "small");
+      fixture.CheckIsFailure(
+          target, {.bytes = head + "\r\nbody", .end = AnswerEnd::kHalfClose},
+          "small");
+    }
+    check_all_framings(kHead + "X Line: 1\r\n");
+    check_all_framings(kHead + " X-Line: 1\r\n");
+  }
+  SECTION("if a trailer line does") {
+    for (const char* lines :
+         {"X Line: 1\r\n", " X-Line: 1\r\n", "X-A: 1\r\n X-B: 2\r\n",
+          "X-A: 1\r\n\tX-B: 2\r\n", "X-A: 1\r\nX\x01: 2\r\n"}) {
+      fixture.CheckIsFailure(
+          target, {.bytes = kChunked + "4\r\nbody\r\n0\r\n" + lines + "\r\n"},
+          "small");
+    }
+  }
+  SECTION("but not if only a value or the body holds blanks") {
+    fixture.CheckIsWhole(
+        target,
+        {.bytes =
+             kHead + "X-Line:  1 \t2 \r\nContent-Length: 6\r\n\r\na\n b\n\t"},
+        "small", "a\n b\n\t");
+    fixture.CheckIsWhole(
+        target,
+        {.bytes = kChunked + "6\r\na\n b\n\t\r\n0\r\nX-Line: 1 2\r\n\r\n"},
+        "small", "a\n b\n\t");
+  }
+}
