Clients: an answer in a transfer coding that is not decoded is broken

What callers saw: a target answered with a transfer coding other than chunked, for example "gzip, chunked", "chunked, gzip" or "xchunked". The client got the encoded bytes or the chunks' framing as the body, with a 200 and the target's signature, and no line that named the coding.

Cause: Beast decodes chunked only and ends the body of all other codings with a length or with the connection; the header line concerns one connection and is not passed on.

Change: ParseResponse() refuses a coding other than chunked (and identity, which changes nothing), so both clients take the exchange as broken.

--- a/packages/io/include/lycheewell/io/http/parse_response.h
+++ b/packages/io/include/lycheewell/io/http/parse_response.h
@@ -16,9 +16,12 @@
 // Parses what `input` holds of one response and consumes it; what follows the
 // response stays. Returns no error as long as more bytes may complete it.
 //
-// Errors are those of Beast, and bad_field for a header or trailer line that
-// begins with a blank: it is a malformed line or an obsolete fold of the line
-// before, and nothing tells which.
+// Errors are those of Beast, and
+// - bad_field for a header or trailer line that begins with a blank: it is a
+//   malformed line or an obsolete fold of the line before, and nothing tells
+//   which;
+// - bad_transfer_encoding for a transfer coding other than chunked, whose bytes
+//   are not the body.
 boost::beast::error_code ParseResponse(ResponseParser& parser,
                                        boost::beast::flat_buffer& input);
 
--- a/packages/io/src/http/parse_response.cpp
+++ b/packages/io/src/http/parse_response.cpp
@@ -1,7 +1,10 @@
 #include "lycheewell/io/http/parse_response.h"
 
+#include <algorithm>
 #include <string_view>
 
+#include "lycheewell/io/http/message.h"
+
 namespace lycheewell::io::http {
 namespace beast = boost::beast;
 
@@ -12,6 +15,14 @@
          lines.find("\n\t") != std::string_view::npos;
 }
 
+bool HasUndecodedTransferCoding(const Response& response) {
+  const auto [first, last] = response.equal_range(Field::transfer_encoding);
+  return std::any_of(first, last, [](const auto& field) {
+    return !beast::iequals(field.value(), "chunked") &&
+           !beast::iequals(field.value(), "identity");
+  });
+}
+
 }  // namespace
 
 beast::error_code ParseResponse(ResponseParser& parser,
@@ -30,6 +41,10 @@
     if (has_fields && HasLineThatBeginsWithBlank(parsed)) {
       return beast::http::error::bad_field;
     }
+    if (is_in_head && parser.is_header_done() &&
+        HasUndecodedTransferCoding(parser.get())) {
+      return beast::http::error::bad_transfer_encoding;
+    }
     input.consume(used);
     if (error && error != beast::http::error::need_more) {
       return error;
--- a/tests/daemon/http_client_test.cpp
+++ b/tests/daemon/http_client_test.cpp
@@ -141,6 +141,14 @@
               "2\r\nab\r\n0\r\n" +
               lines + "\r\n")) == ExchangeErrorKind::kBroken);
   }
+  SECTION("a transfer coding that is not decoded") {
+    const std::string codings =
+        GENERATE("gzip, chunked", "gzip\r\nTransfer-Encoding: chunked");
+    CAPTURE(codings);
+    CHECK(kind_of(AskTargetThatAnswers(
+              "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + codings +
+              "\r\n\r\n2\r\nab\r\n0\r\n\r\n")) == ExchangeErrorKind::kBroken);
+  }
   SECTION("an answer that ends early, or that has no length") {
     const std::string rest = GENERATE(
         "\r\n\r\nab", "\r\nContent-Length: 9\r\n\r\nab",
--- a/tests/sidecar/broken_answer_test.cpp
+++ b/tests/sidecar/broken_answer_test.cpp
@@ -374,6 +374,28 @@
           "small");
     }
   }
+  SECTION("if its body is in a coding that is not decoded") {
+    const std::string chunks = "\r\n4\r\nbody\r\n0\r\n\r\n";
+    for (const std::string& lines :
+         {"Transfer-Encoding: gzip, chunked\r\n" + chunks,
+          "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n" + chunks,
+          "Transfer-Encoding: xchunked\r\n" + chunks,
+          "Transfer-Encoding: chunked, gzip\r\n" + chunks,
+          std::string("Transfer-Encoding: gzip\r\n\r\nbody"),
+          std::string(
+              "Transfer-Encoding: gzip\r\nContent-Length: 4\r\n\r\nbody")}) {
+      fixture.CheckIsFailure(
+          target, {.bytes = kHead + lines, .end = AnswerEnd::kHalfClose},
+          "small");
+    }
+    for (const std::string& lines :
+         {"Transfer-Encoding: Chunked\r\n" + chunks,
+          std::string("Transfer-Encoding: identity\r\n\r\nbody")}) {
+      fixture.CheckIsWhole(
+          target, {.bytes = kHead + lines, .end = AnswerEnd::kHalfClose},
+          "small", "body");
+    }
+  }
   SECTION("but not if only a value or the body holds blanks") {
     fixture.CheckIsWhole(
         target,
