Tests: broken answers of the store

Cause: the daemons read the manifest through the same connections as targets' answers; no test of real processes showed what they make of a broken one.

Change: three faults of the store's stand-in, a name that holds a blank, a line that begins with one and a cut answer; the manifest in such an answer must not come into force, and the next whole one must.

--- a/tests/harness/store.cpp
+++ b/tests/harness/store.cpp
@@ -24,6 +24,19 @@
   co_await timer.async_wait(asio::use_awaitable);
 }
 
+// The server writes names as they are.
+void BreakAnswer(Response& response, StoreFault fault) {
+  if (fault == StoreFault::kMalformedName) {
+    response.set("X Line", "1");
+  } else if (fault == StoreFault::kBlankLine) {
+    response.set("X-Line", "1");
+    response.set(" X-Line", "2");
+  } else if (fault == StoreFault::kCutAnswers) {
+    response.content_length(response.body().size() + 1);
+    response.keep_alive(false);
+  }
+}
+
 }  // namespace
 
 std::string LoopbackAddress(int port) {
@@ -106,6 +119,7 @@
   if (current == StoreFault::kLostAnswers) {
     co_return std::nullopt;
   }
+  BreakAnswer(*response, current_fault);
   co_return response;
 }
 
--- a/tests/harness/store.h
+++ b/tests/harness/store.h
@@ -34,10 +34,13 @@
 
 enum class StoreFault {
   kNone,
-  kDown,        // answers 503
-  kSilent,      // does not answer while the fault lasts
-  kSlow,        // answers late
-  kLostAnswers  // executes calls and closes the connection
+  kDown,           // answers 503
+  kSilent,         // does not answer while the fault lasts
+  kSlow,           // answers late
+  kLostAnswers,    // executes calls and closes the connection
+  kMalformedName,  // answers with a field whose name holds a blank
+  kBlankLine,      // answers with a line that begins with a blank
+  kCutAnswers      // closes the connection within each answer
 };
 
 class Store {
--- a/tests/sidecar/broken_answer_test.cpp
+++ b/tests/sidecar/broken_answer_test.cpp
@@ -24,6 +24,7 @@
 using harness::SendRequest;
 using harness::SidecarManifest;
 using harness::Store;
+using harness::StoreFault;
 using Vm = harness::SidecarVm;
 using io::http::Verb;
 using std::chrono::milliseconds;
@@ -408,3 +409,31 @@
         "small", "a\n b\n\t");
   }
 }
+
+// Guards against a manifest that comes from a broken answer.
+TEST_CASE("A broken answer of the store changes nothing",
+          "[sidecar][broken-answer]") {
+  signal(SIGPIPE, SIG_IGN);
+  constexpr int kDoor = kFirstSidecarPort + 1;
+  constexpr unsigned kUnknownKey = 401;
+  Store store(kFirstSidecarPort);
+  store.PutManifest(SidecarManifest(1, R"("k1")"));
+  std::atomic<StoreFault>& fault = store.OpenDoor(kDoor);
+  Vm vm(0, kDoor);
+  REQUIRE(Eventually([&] { return vm.IsReady(); }));
+  const auto knows_new_key = [&] {
+    return vm.Call("/pay/1", "k2").status != kUnknownKey;
+  };
+  REQUIRE_FALSE(knows_new_key());
+
+  fault = GENERATE(StoreFault::kMalformedName, StoreFault::kBlankLine,
+                   StoreFault::kCutAnswers);
+  CAPTURE(fault.load());
+  store.PutManifest(SidecarManifest(2, R"("k1","k2")"));
+  CHECK_FALSE(Eventually(knows_new_key, seconds(1)));
+
+  SECTION("and the next whole one is taken") {
+    fault = StoreFault::kNone;
+    CHECK(Eventually(knows_new_key));
+  }
+}
