--- a/packages/sidecar/src/http/client_connection.cpp
+++ b/packages/sidecar/src/http/client_connection.cpp
@@ -131,7 +131,7 @@
         }
         if (error) {
           self->must_close = true;
-          // A write that has failed by now reports it before this.
+          // The completion of a write that failed first may still be queued.
           asio::post(self->socket.get_executor(),
                      [self] { self->OnEndOfStream(); });
           return;
--- a/tests/process/client_test.cpp
+++ b/tests/process/client_test.cpp
@@ -102,7 +102,8 @@
           "HTTP/1.1 200 OK\r\nX\x01Line: 1\r\n" + length,
           std::string("HTTP/1.1 200 OK\r\nContent-Length: 999\r\n")}) {
       CAPTURE(head);
-      const auto result = ask(head + "\r\n" + body, AnswerEnd::kHalfClose);
+      const auto result = ask(std::string(head).append("\r\n").append(body),
+                              AnswerEnd::kHalfClose);
       CHECK(result.exit_code == 1);
       CHECK_FALSE(Contains(result, "in_force"));
     }
--- a/tests/sidecar/broken_answer_test.cpp
+++ b/tests/sidecar/broken_answer_test.cpp
@@ -36,18 +36,28 @@
 constexpr int kSlots = 16;
 constexpr milliseconds kReportPeriod{300};
 
-const std::string kUnsafe = "/long/raw/1";
-const std::string kSafe = "/scan/raw/1";
+constexpr const char* kUnsafe = "/long/raw/1";
+constexpr const char* kSafe = "/scan/raw/1";
 
-// The head of an answer without the lines that say where its body ends.
-const std::string kHead =
-    "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: signed\r\n";
-const std::string kUntilClose = kHead + "\r\n";
-const std::string kChunked = kHead + "Transfer-Encoding: chunked\r\n\r\n";
+constexpr const char* kOk = "HTTP/1.1 200 OK\r\n";
+constexpr const char* kFields =
+    "Request-Id: {id}\r\nResponse-Signature: signed\r\n";
+
+// The head of an answer that says nothing of where its body ends.
+std::string Head(const std::string& more_lines = "") {
+  return kOk + (kFields + more_lines);
+}
+
+std::string UntilClose(const std::string& body) {
+  return Head() + "\r\n" + body;
+}
+
+std::string Chunked(const std::string& chunks) {
+  return Head("Transfer-Encoding: chunked\r\n\r\n") + chunks;
+}
 
 std::string WithLength(std::size_t length, const std::string& body) {
-  return kHead + "Content-Length: " + std::to_string(length) + "\r\n\r\n" +
-         body;
+  return Head("Content-Length: ") + std::to_string(length) + "\r\n\r\n" + body;
 }
 
 std::string ManifestForUploads() {
@@ -162,9 +172,9 @@
 
 // Parts of answers, by how the end of the whole one would be decided.
 std::vector<std::string> Parts() {
-  return {WithLength(100, "part"),         WithLength(100, ""),
-          kChunked + "4\r\npart\r\n",      kChunked + "64\r\npart",
-          kChunked + "4\r\npart\r\n0\r\n", kHead};
+  return {WithLength(100, "part"),       WithLength(100, ""),
+          Chunked("4\r\npart\r\n"),      Chunked("64\r\npart"),
+          Chunked("4\r\npart\r\n0\r\n"), Head()};
 }
 
 std::vector<std::string> HeadsWithMalformedNames() {
@@ -179,9 +189,9 @@
   }
   std::vector<std::string> heads;
   for (const std::string& line : lines) {
-    heads.push_back("HTTP/1.1 200 OK\r\n" + line + "\r\n" +
-                    kHead.substr(kHead.find("\r\n") + 2));
-    heads.push_back(kHead + line + "\r\n");
+    const std::string ended = line + "\r\n";
+    heads.push_back(kOk + (ended + kFields));
+    heads.push_back(Head(ended));
   }
   return heads;
 }
@@ -202,7 +212,7 @@
       for (const milliseconds delay : {milliseconds(0), milliseconds(50)}) {
         for (const char* part : {"", "part"}) {
           fixture.CheckIsFailure(target,
-                                 {.bytes = kUntilClose + part,
+                                 {.bytes = UntilClose(part),
                                   .end = AnswerEnd::kReset,
                                   .is_early = is_early,
                                   .end_delay = delay},
@@ -224,11 +234,12 @@
     }
   }
   SECTION("for any of many clients at a time") {
-    target.SetAnswer({.bytes = kUntilClose + "part",
+    target.SetAnswer({.bytes = UntilClose("part"),
                       .end = AnswerEnd::kReset,
                       .is_early = true,
                       .end_delay = milliseconds(20)});
     std::vector<std::future<Reply>> replies;
+    replies.reserve(kClientsAtATime);
     for (int i = 0; i < kClientsAtATime; ++i) {
       replies.push_back(std::async(
           std::launch::async, [&] { return fixture.Send(kUnsafe, upload); }));
@@ -249,7 +260,7 @@
       for (const AnswerEnd end : {AnswerEnd::kHalfClose, AnswerEnd::kClose}) {
         for (const milliseconds delay : {milliseconds(0), milliseconds(50)}) {
           fixture.CheckIsWhole(target,
-                               {.bytes = kUntilClose + "whole",
+                               {.bytes = UntilClose("whole"),
                                 .end = end,
                                 .is_early = is_early,
                                 .end_delay = delay},
@@ -259,7 +270,7 @@
       for (const AnswerEnd end : {AnswerEnd::kKeepOpen, AnswerEnd::kHalfClose,
                                   AnswerEnd::kClose, AnswerEnd::kReset}) {
         for (const std::string& whole :
-             {WithLength(5, "whole"), kChunked + "5\r\nwhole\r\n0\r\n\r\n"}) {
+             {WithLength(5, "whole"), Chunked("5\r\nwhole\r\n0\r\n\r\n")}) {
           fixture.CheckIsWhole(
               target, {.bytes = whole, .end = end, .is_early = is_early}, body,
               "whole");
@@ -277,7 +288,7 @@
   fixture.Announce(fixture.first);
   fixture.Announce(fixture.second);
   const std::string upload(kUploadBytes, 'u');
-  const RawAnswer part{.bytes = kUntilClose + "part",
+  const RawAnswer part{.bytes = UntilClose("part"),
                        .end = AnswerEnd::kReset,
                        .is_early = true,
                        .end_delay = milliseconds(20)};
@@ -350,10 +361,8 @@
   };
 
   SECTION("if its status is 000") {
-    check_all_framings("HTTP/1.1 000 Trouble\r\n" +
-                       kHead.substr(kHead.find("\r\n") + 2));
-    check_all_framings("HTTP/1.1 000 \r\n" +
-                       kHead.substr(kHead.find("\r\n") + 2));
+    check_all_framings(std::string("HTTP/1.1 000 Trouble\r\n") + kFields);
+    check_all_framings(std::string("HTTP/1.1 000 \r\n") + kFields);
   }
   SECTION("if a field's name holds a blank or a control byte") {
     for (const std::string& head : HeadsWithMalformedNames()) {
@@ -363,15 +372,15 @@
           target, {.bytes = head + "\r\nbody", .end = AnswerEnd::kHalfClose},
           "small");
     }
-    check_all_framings(kHead + "X Line: 1\r\n");
-    check_all_framings(kHead + " X-Line: 1\r\n");
+    check_all_framings(Head("X Line: 1\r\n"));
+    check_all_framings(Head(" X-Line: 1\r\n"));
   }
   SECTION("if a trailer line does") {
     for (const char* lines :
          {"X Line: 1\r\n", " X-Line: 1\r\n", "X-A: 1\r\n X-B: 2\r\n",
           "X-A: 1\r\n\tX-B: 2\r\n", "X-A: 1\r\nX\x01: 2\r\n"}) {
       fixture.CheckIsFailure(
-          target, {.bytes = kChunked + "4\r\nbody\r\n0\r\n" + lines + "\r\n"},
+          target, {.bytes = Chunked("4\r\nbody\r\n0\r\n") + lines + "\r\n"},
           "small");
     }
   }
@@ -386,26 +395,26 @@
           std::string(
               "Transfer-Encoding: gzip\r\nContent-Length: 4\r\n\r\nbody")}) {
       fixture.CheckIsFailure(
-          target, {.bytes = kHead + lines, .end = AnswerEnd::kHalfClose},
+          target, {.bytes = Head(lines), .end = AnswerEnd::kHalfClose},
           "small");
     }
     for (const std::string& lines :
          {"Transfer-Encoding: Chunked\r\n" + chunks,
           std::string("Transfer-Encoding: identity\r\n\r\nbody")}) {
-      fixture.CheckIsWhole(
-          target, {.bytes = kHead + lines, .end = AnswerEnd::kHalfClose},
-          "small", "body");
+      fixture.CheckIsWhole(target,
+                           {.bytes = Head(lines), .end = AnswerEnd::kHalfClose},
+                           "small", "body");
     }
   }
   SECTION("but not if only a value or the body holds blanks") {
     fixture.CheckIsWhole(
         target,
         {.bytes =
-             kHead + "X-Line:  1 \t2 \r\nContent-Length: 6\r\n\r\na\n b\n\t"},
+             Head("X-Line:  1 \t2 \r\nContent-Length: 6\r\n\r\na\n b\n\t")},
         "small", "a\n b\n\t");
     fixture.CheckIsWhole(
         target,
-        {.bytes = kChunked + "6\r\na\n b\n\t\r\n0\r\nX-Line: 1 2\r\n\r\n"},
+        {.bytes = Chunked("6\r\na\n b\n\t\r\n0\r\nX-Line: 1 2\r\n\r\n")},
         "small", "a\n b\n\t");
   }
 }
