Tests: one accept loop for the stand-ins on plain sockets

Cause: RawTarget and WorkingTarget had the same loop, and the two checks of broken_answer_test.cpp the same frame.

Change: ThreadedListener and CheckReplies(); behaviour and checks unchanged.

--- a/tests/harness/raw_socket.cpp
+++ b/tests/harness/raw_socket.cpp
@@ -1,9 +1,12 @@
 #include "harness/raw_socket.h"
 
 #include <arpa/inet.h>
+#include <poll.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <stdexcept>
+#include <utility>
 
 namespace lycheewell::harness {
 
@@ -15,19 +18,44 @@
   return address;
 }
 
-int ListenOnLoopback(int port, int receive_buffer_bytes) {
-  const int listener = socket(AF_INET, SOCK_STREAM, 0);
+ThreadedListener::ThreadedListener(int port, std::function<void(int)> new_serve)
+    : listener(socket(AF_INET, SOCK_STREAM, 0)), serve(std::move(new_serve)) {
   const int on = 1;
-  setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes,
-             sizeof receive_buffer_bytes);
+  setsockopt(this->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  setsockopt(this->listener, SOL_SOCKET, SO_RCVBUF, &kReceiveBufferBytes,
+             sizeof kReceiveBufferBytes);
   const sockaddr_in address = Loopback(port);
-  if (bind(listener, reinterpret_cast<const sockaddr*>(&address),
+  if (bind(this->listener, reinterpret_cast<const sockaddr*>(&address),
            sizeof address) != 0 ||
-      listen(listener, SOMAXCONN) != 0) {
+      listen(this->listener, SOMAXCONN) != 0) {
     throw std::runtime_error("cannot listen on port " + std::to_string(port));
   }
-  return listener;
+  this->acceptor = std::thread([this] { this->Accept(); });
+}
+
+ThreadedListener::~ThreadedListener() {
+  this->ended = true;
+  this->acceptor.join();
+  for (std::thread& worker : this->workers) {
+    worker.join();
+  }
+  close(this->listener);
+}
+
+void ThreadedListener::Accept() {
+  pollfd watched{.fd = this->listener, .events = POLLIN, .revents = 0};
+  while (!this->ended) {
+    if (poll(&watched, 1, kPollMs) <= 0) {
+      continue;
+    }
+    const int connection = accept(this->listener, nullptr, nullptr);
+    if (connection >= 0) {
+      this->workers.emplace_back([this, connection] {
+        this->serve(connection);
+        close(connection);
+      });
+    }
+  }
 }
 
 void SendAll(int connection, const std::string& bytes) {
--- a/tests/harness/raw_socket.h
+++ b/tests/harness/raw_socket.h
@@ -5,15 +5,45 @@
 
 #include <netinet/in.h>
 
+#include <atomic>
+#include <functional>
 #include <string>
+#include <thread>
+#include <vector>
 
 namespace lycheewell::harness {
 
+// Period in which stand-ins look whether they have to end.
+inline constexpr int kPollMs = 10;
+
+// Small, so that a large body does not fit.
+inline constexpr int kReceiveBufferBytes = 16 * 1024;
+
 sockaddr_in Loopback(int port);
 
-// Returns a listening socket whose connections have the given receive buffer;
-// throws if the port is taken.
-int ListenOnLoopback(int port, int receive_buffer_bytes);
+// Accepts connections and serves each on a thread of its own.
+class ThreadedListener {
+ public:
+  // `serve` must return soon after has_ended() holds; the connection is closed
+  // then. Connections have a receive buffer of kReceiveBufferBytes. Throws if
+  // the port is taken.
+  ThreadedListener(int port, std::function<void(int connection)> serve);
+  ~ThreadedListener();
+
+  ThreadedListener(const ThreadedListener&) = delete;
+  ThreadedListener& operator=(const ThreadedListener&) = delete;
+
+  bool has_ended() const { return this->ended; }
+
+ private:
+  void Accept();
+
+  int listener = -1;
+  std::function<void(int connection)> serve;
+  std::atomic<bool> ended = false;
+  std::vector<std::thread> workers;  // changed by `acceptor` only
+  std::thread acceptor;
+};
 
 // Writes until the peer closes the connection.
 void SendAll(int connection, const std::string& bytes);
--- a/tests/harness/raw_target.cpp
+++ b/tests/harness/raw_target.cpp
@@ -2,21 +2,14 @@
 
 #include <poll.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <array>
 #include <utility>
 
-#include "harness/raw_socket.h"
-
 namespace lycheewell::harness {
 namespace {
 
-constexpr int kPollMs = 10;
-// Small, so that a large body does not fit.
-constexpr int kReceiveBufferBytes = 16 * 1024;
-
 std::string WithRequestId(std::string bytes, const std::string& id) {
   const std::size_t mark = bytes.find(kRequestIdMark);
   if (mark != std::string::npos) {
@@ -38,19 +31,8 @@
 }  // namespace
 
 RawTarget::RawTarget(int port, std::string new_raw_path)
-    : listener(ListenOnLoopback(port, kReceiveBufferBytes)),
-      raw_path(std::move(new_raw_path)) {
-  this->acceptor = std::thread([this] { this->Accept(); });
-}
-
-RawTarget::~RawTarget() {
-  this->has_ended = true;
-  this->acceptor.join();
-  for (std::thread& worker : this->workers) {
-    worker.join();
-  }
-  close(this->listener);
-}
+    : raw_path(std::move(new_raw_path)),
+      listener(port, [this](int connection) { this->Serve(connection); }) {}
 
 void RawTarget::SetAnswer(const RawAnswer& new_answer) {
   const std::lock_guard lock(this->mutex);
@@ -62,29 +44,13 @@
   return this->answer;
 }
 
-void RawTarget::Accept() {
-  pollfd watched{.fd = this->listener, .events = POLLIN, .revents = 0};
-  while (!this->has_ended) {
-    if (poll(&watched, 1, kPollMs) <= 0) {
-      continue;
-    }
-    const int connection = accept(this->listener, nullptr, nullptr);
-    if (connection >= 0) {
-      this->workers.emplace_back([this, connection] {
-        this->Serve(connection);
-        close(connection);
-      });
-    }
-  }
-}
-
 void RawTarget::Serve(int connection) {
   std::string bytes;
   std::array<char, 4096> block{};
   pollfd watched{.fd = connection, .events = POLLIN, .revents = 0};
   bool is_first = true;
   std::size_t unread_body = 0;  // of a request that has been answered
-  while (!this->has_ended) {
+  while (!this->listener.has_ended()) {
     const std::size_t skipped = std::min(unread_body, bytes.size());
     bytes.erase(0, skipped);
     unread_body -= skipped;
--- a/tests/harness/raw_target.h
+++ b/tests/harness/raw_target.h
@@ -7,8 +7,8 @@
 #include <chrono>
 #include <mutex>
 #include <string>
-#include <thread>
-#include <vector>
+
+#include "harness/raw_socket.h"
 
 namespace lycheewell::harness {
 
@@ -39,7 +39,6 @@
 class RawTarget {
  public:
   explicit RawTarget(int port, std::string raw_path = "/raw/");
-  ~RawTarget();
 
   RawTarget(const RawTarget&) = delete;
   RawTarget& operator=(const RawTarget&) = delete;
@@ -56,21 +55,17 @@
   int runs_on_kept_connections() const { return this->kept_runs; }
 
  private:
-  void Accept();
   void Serve(int connection);
   // Answers one request; returns whether the connection is read on.
   bool Answer(int connection, const std::string& head, bool is_raw);
   RawAnswer CurrentAnswer();
 
-  int listener = -1;
   std::string raw_path;
   std::mutex mutex;
   RawAnswer answer;
   std::atomic<int> raw_runs = 0;
   std::atomic<int> kept_runs = 0;
-  std::atomic<bool> has_ended = false;
-  std::vector<std::thread> workers;  // changed by `acceptor` only
-  std::thread acceptor;
+  ThreadedListener listener;  // last, since it serves with all the others
 };
 
 }  // namespace lycheewell::harness
--- a/tests/harness/working_target.cpp
+++ b/tests/harness/working_target.cpp
@@ -15,10 +15,6 @@
 using Clock = std::chrono::steady_clock;
 using std::chrono::milliseconds;
 
-constexpr int kPollMs = 10;
-// Small, so that a large body does not fit.
-constexpr int kReceiveBufferBytes = 16 * 1024;
-
 // Returns whether the peer has closed or reset the connection within the time.
 bool IsClosedWithin(int connection, int wait_ms) {
   pollfd watched{.fd = connection, .events = POLLRDHUP, .revents = 0};
@@ -28,18 +24,7 @@
 }  // namespace
 
 WorkingTarget::WorkingTarget(int port)
-    : listener(ListenOnLoopback(port, kReceiveBufferBytes)) {
-  this->acceptor = std::thread([this] { this->Accept(); });
-}
-
-WorkingTarget::~WorkingTarget() {
-  this->has_ended = true;
-  this->acceptor.join();
-  for (std::thread& worker : this->workers) {
-    worker.join();
-  }
-  close(this->listener);
-}
+    : listener(port, [this](int connection) { this->Serve(connection); }) {}
 
 int WorkingTarget::MostInASecond(Clock::time_point begin) {
   const std::lock_guard lock(this->mutex);
@@ -57,27 +42,11 @@
   return static_cast<int>(most);
 }
 
-void WorkingTarget::Accept() {
-  pollfd watched{.fd = this->listener, .events = POLLIN, .revents = 0};
-  while (!this->has_ended) {
-    if (poll(&watched, 1, kPollMs) <= 0) {
-      continue;
-    }
-    const int connection = accept(this->listener, nullptr, nullptr);
-    if (connection >= 0) {
-      this->workers.emplace_back([this, connection] {
-        this->Serve(connection);
-        close(connection);
-      });
-    }
-  }
-}
-
 void WorkingTarget::Serve(int connection) {
   std::string bytes;
   std::array<char, 4096> block{};
   pollfd watched{.fd = connection, .events = POLLIN, .revents = 0};
-  while (!this->has_ended) {
+  while (!this->listener.has_ended()) {
     const std::size_t end = bytes.find("\r\n\r\n");
     const std::string head =
         end == std::string::npos ? "" : bytes.substr(0, end + 4);
@@ -125,7 +94,7 @@
   const bool makes_call = head.find("/calls/") < head.find("\r\n");
   const int call = makes_call ? this->Call(head) : -1;
   bool is_closed = false;
-  while (!is_closed && !this->has_ended &&
+  while (!is_closed && !this->listener.has_ended() &&
          (this->work_ms < 0 ||
           Clock::now() - begin < milliseconds(this->work_ms))) {
     is_closed = IsClosedWithin(connection, kPollMs);
@@ -134,7 +103,7 @@
     close(call);
   }
   --this->working;
-  if (is_closed || this->has_ended) {
+  if (is_closed || this->listener.has_ended()) {
     return false;
   }
   SendAll(connection,
--- a/tests/harness/working_target.h
+++ b/tests/harness/working_target.h
@@ -7,15 +7,15 @@
 #include <chrono>
 #include <mutex>
 #include <string>
-#include <thread>
 #include <vector>
 
+#include "harness/raw_socket.h"
+
 namespace lycheewell::harness {
 
 class WorkingTarget {
  public:
   explicit WorkingTarget(int port);
-  ~WorkingTarget();
 
   WorkingTarget(const WorkingTarget&) = delete;
   WorkingTarget& operator=(const WorkingTarget&) = delete;
@@ -42,7 +42,6 @@
   int MostInASecond(std::chrono::steady_clock::time_point begin);
 
  private:
-  void Accept();
   void Serve(int connection);
   // Works on one request; returns whether the connection is still open.
   bool Work(int connection, const std::string& head);
@@ -53,15 +52,12 @@
     return this->header_lines;
   }
 
-  int listener = -1;
   std::mutex mutex;
   std::string header_lines;
   std::vector<std::chrono::steady_clock::time_point> arrival_times;
   std::atomic<int> arrived = 0;
   std::atomic<int> working = 0;
-  std::atomic<bool> has_ended = false;
-  std::vector<std::thread> workers;  // changed by `acceptor` only
-  std::thread acceptor;
+  ThreadedListener listener;  // last, since it serves with all the others
 };
 
 }  // namespace lycheewell::harness
--- a/tests/sidecar/broken_answer_test.cpp
+++ b/tests/sidecar/broken_answer_test.cpp
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <catch2/catch.hpp>
+#include <functional>
 #include <future>
 #include <optional>
 #include <string>
@@ -140,33 +141,34 @@
     return reply;
   }
 
-  void CheckIsFailure(RawTarget& target, const RawAnswer& answer,
-                      const std::string& body) {
+  // Checks what a client gets on a new and on a kept connection.
+  void CheckReplies(RawTarget& target, const RawAnswer& answer,
+                    const std::string& body,
+                    const std::function<void(const Reply&)>& check) {
     CAPTURE(answer.bytes, answer.end, answer.is_early,
             answer.end_delay.count());
     target.SetAnswer(answer);
     for (const bool on_kept_connection : {false, true}) {
       CAPTURE(on_kept_connection);
-      const Reply reply =
-          this->SendUntilRun(target, kUnsafe, body, on_kept_connection);
+      check(this->SendUntilRun(target, kUnsafe, body, on_kept_connection));
+    }
+  }
+
+  void CheckIsFailure(RawTarget& target, const RawAnswer& answer,
+                      const std::string& body) {
+    this->CheckReplies(target, answer, body, [](const Reply& reply) {
       CHECK(reply.status == 502);
       CHECK(reply.signature.empty());
-    }
+    });
   }
 
   void CheckIsWhole(RawTarget& target, const RawAnswer& answer,
                     const std::string& body, const std::string& expected) {
-    CAPTURE(answer.bytes, answer.end, answer.is_early,
-            answer.end_delay.count());
-    target.SetAnswer(answer);
-    for (const bool on_kept_connection : {false, true}) {
-      CAPTURE(on_kept_connection);
-      const Reply reply =
-          this->SendUntilRun(target, kUnsafe, body, on_kept_connection);
+    this->CheckReplies(target, answer, body, [&](const Reply& reply) {
       CHECK(reply.status == 200);
       CHECK(reply.signature == "signed");
       CHECK(reply.body == expected);
-    }
+    });
   }
 };
 
