--- a/tests/harness/sidecar_vm.cpp
+++ b/tests/harness/sidecar_vm.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
@@ -94,7 +95,11 @@
   if (target.query == "break") {
     co_return std::nullopt;
   }
-  Response response = io::http::MakeResponse(Status::ok, "text/plain", "done");
+  Response response =
+      io::http::MakeResponse(Status::ok, "text/plain",
+                             target.query.starts_with("echo")
+                                 ? std::string(io::http::View(request.target()))
+                                 : "done");
   response.set("Request-Id", request["Request-Id"]);
   response.set("Response-Signature", "signed");
   co_return response;
@@ -102,13 +107,13 @@
 
 Reply SendRequest(int port, Verb verb, const std::string& target,
                   const std::string& key, const std::string& body,
-                  milliseconds limit) {
+                  milliseconds limit, const std::string& id) {
   static std::atomic<int> last_id = 0;
   asio::io_context context;
   beast::tcp_stream stream(context);
   Request request(verb, target, 11);
   request.set("Host", "a.example");
-  request.set("Request-Id", "r" + std::to_string(++last_id));
+  request.set("Request-Id", id.empty() ? "r" + std::to_string(++last_id) : id);
   request.set("Deadline-Ms", std::to_string(limit.count()));
   if (!key.empty()) {
     request.set("Authorization", "Bearer " + key);
@@ -131,6 +136,7 @@
   }
   return {
       .status = response.result_int(),
+      .request_id = std::string(io::http::View(response["Request-Id"])),
       .signature = std::string(io::http::View(response["Response-Signature"])),
       .retry_after = std::string(io::http::View(response["Retry-After"])),
       .body = response.body()};
@@ -160,6 +166,12 @@
   std::filesystem::remove_all(this->folder);
 }
 
+std::string SidecarVm::DefaultProgram() {
+  const char* other = std::getenv("LYCHEEWELL_DAEMON");
+  return other == nullptr ? std::string(LYCHEEWELL_BIN_DIR) + "/lycheewelld"
+                          : other;
+}
+
 const std::set<SidecarVm*>& SidecarVm::All() { return Registry(); }
 
 void SidecarVm::Start() {
@@ -184,8 +196,7 @@
       << R"("routing":{"by_cost":)" << (this->routes_by_cost ? "true" : "false")
       << R"(},"bounds":)" << this->bounds << "}}";
   this->process.emplace(
-      std::vector<std::string>{std::string(LYCHEEWELL_BIN_DIR) + "/lycheewelld",
-                               "--settings", path},
+      std::vector<std::string>{this->program, "--settings", path},
       this->folder + "/log");
 }
 
@@ -221,6 +232,11 @@
       .status;
 }
 
+unsigned SidecarVm::Report(const std::string& path,
+                           const std::string& body) const {
+  return SendRequest(this->base_port + 1, Verb::post, path, "", body).status;
+}
+
 bool SidecarVm::IsReady() {
   return SendRequest(this->base_port + 2, Verb::get, "/v1/readiness", "")
              .status == 200;
--- a/tests/harness/sidecar_vm.h
+++ b/tests/harness/sidecar_vm.h
@@ -23,7 +23,8 @@
 
 // Fake of a target. A request's query selects the answer: wait=MS delays it,
 // break closes the connection without an answer, crash ends the target, which
-// comes back as another start after kDownTime.
+// comes back as another start after kDownTime. One that begins with echo gets
+// the request's path and query as the body.
 class SidecarTarget {
  public:
   static constexpr std::chrono::milliseconds kDownTime{700};
@@ -60,6 +61,7 @@
 
 struct Reply {
   unsigned status = 0;  // 0: no complete answer
+  std::string request_id;
   std::string signature;
   std::string retry_after;
   std::string body;
@@ -68,7 +70,8 @@
 Reply SendRequest(
     int port, io::http::Verb verb, const std::string& target,
     const std::string& key, const std::string& body = "",
-    std::chrono::milliseconds limit = std::chrono::milliseconds(3000));
+    std::chrono::milliseconds limit = std::chrono::milliseconds(3000),
+    const std::string& id = "");
 
 template <typename Condition>
 bool Eventually(Condition condition,
@@ -108,6 +111,8 @@
   unsigned AnnounceAs(int born, int report, const std::string& state,
                       int slots = 4, int cold_ms = 0);
   unsigned Deregister();
+  // Posts a report under a path and with a body that may be no report at all.
+  unsigned Report(const std::string& path, const std::string& body) const;
   Reply Call(const std::string& target, const std::string& key = "k1",
              io::http::Verb verb = io::http::Verb::post);
 
@@ -123,9 +128,14 @@
   std::optional<SidecarTarget> target;
   std::optional<Process> process;
   int sequence = 0;
-  bool routes_by_cost = false;  // from the next start on
+  // From the next start on.
+  bool routes_by_cost = false;
+  std::string program = DefaultProgram();
 
  private:
+  // LYCHEEWELL_DAEMON names another one, such as one of an earlier version.
+  static std::string DefaultProgram();
+
   int store_port;
   int links_proxy_port;
   std::string data_centre;
--- /dev/null
+++ b/tests/sidecar/unreadable_bytes_test.cpp
@@ -0,0 +1,171 @@
+// Text that is not valid UTF-8, sent to real daemons while requests of other
+// clients are running on the same link.
+#include <signal.h>
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "harness/sidecar_vm.h"
+
+namespace {
+using namespace lycheewell;
+using harness::Eventually;
+using harness::kFirstSidecarPort;
+using harness::Reply;
+using harness::SendRequest;
+using harness::SidecarManifest;
+using harness::Store;
+using Vm = harness::SidecarVm;
+using io::http::Verb;
+using std::chrono::milliseconds;
+
+constexpr int kSlots = 64;
+constexpr int kOthers = 10;
+constexpr milliseconds kReportPeriod{300};
+constexpr milliseconds kClientLimit{6000};
+
+std::string Byte(int value) { return {static_cast<char>(value)}; }
+
+// Unsafe requests of other clients that run while a test goes on.
+class Others {
+ public:
+  Others(const Vm& vm, const std::string& target) {
+    for (int i = 0; i < kOthers; ++i) {
+      this->clients.emplace_back([this, port = vm.base_port, target] {
+        const Reply reply =
+            SendRequest(port, Verb::post, target, "k1", "order", kClientLimit);
+        this->served += reply.status == 200 && reply.signature == "signed";
+      });
+    }
+  }
+  ~Others() { this->Join(); }
+
+  Others(const Others&) = delete;
+  Others& operator=(const Others&) = delete;
+
+  // Waits for all answers; returns how many were the target's own.
+  int CountServed() {
+    this->Join();
+    return this->served;
+  }
+
+ private:
+  void Join() {
+    for (std::thread& client : this->clients) {
+      if (client.joinable()) {
+        client.join();
+      }
+    }
+  }
+
+  std::atomic<int> served = 0;
+  std::vector<std::thread> clients;
+};
+
+// Goes on reporting that a VM's target is ready.
+class Reporter {
+ public:
+  explicit Reporter(Vm& vm)
+      : thread([this, &vm] {
+          while (!this->has_ended) {
+            vm.AnnounceAs(vm.target->born(), ++this->reports, "ready", kSlots);
+            std::this_thread::sleep_for(kReportPeriod);
+          }
+        }) {}
+  ~Reporter() {
+    this->has_ended = true;
+    this->thread.join();
+  }
+
+  Reporter(const Reporter&) = delete;
+  Reporter& operator=(const Reporter&) = delete;
+
+ private:
+  std::atomic<bool> has_ended = false;
+  int reports = 0;
+  std::thread thread;
+};
+
+// Two VMs. Requests enter at the first one; the target is at the second one.
+struct Fixture {
+  Store store{kFirstSidecarPort};
+  Vm first{0};
+  Vm second{1};
+
+  Fixture() {
+    signal(SIGPIPE, SIG_IGN);
+    this->store.PutManifest(SidecarManifest(1, R"("k1")"));
+    this->AwaitReady();
+  }
+
+  void AwaitReady() {
+    REQUIRE(Eventually(
+        [&] { return this->first.IsReady() && this->second.IsReady(); }));
+  }
+
+  void AwaitServed() {
+    REQUIRE(
+        Eventually([&] { return this->first.Call("/pay/1").status == 200; }));
+  }
+
+  Reply Get(const std::string& target, const std::string& id = "") const {
+    return SendRequest(this->first.base_port, Verb::get, target, "k1", "",
+                       kClientLimit, id);
+  }
+
+  // Waits until the others are at work.
+  void AwaitAtWork(int runs_before) {
+    REQUIRE(Eventually(
+        [&] { return this->second.target->runs >= runs_before + kOthers; }));
+  }
+};
+
+}  // namespace
+
+// Guards against a link that closes, with the calls of all other clients on it,
+// over one byte in a client's request.
+TEST_CASE("Bytes that HTTP allows reach the target unchanged",
+          "[sidecar][unreadable]") {
+  Fixture fixture;
+  const Reporter reporter(fixture.second);
+  fixture.AwaitServed();
+  const int runs = fixture.second.target->runs;
+  Others others(fixture.first, "/long/1?wait=2500");
+  fixture.AwaitAtWork(runs);
+
+  SECTION("in a request id") {
+    for (int value = 0x21; value < 256; ++value) {
+      if (value == 0x7f) {
+        continue;
+      }
+      const std::string id = "r-" + Byte(value) + "-1";
+      const Reply reply = fixture.Get("/scan/1", id);
+      INFO(value);
+      CHECK(reply.status == 200);
+      CHECK(reply.request_id == id);
+    }
+  }
+  SECTION("in a path") {
+    for (int value = 0x80; value < 256; ++value) {
+      const std::string target = "/scan/" + Byte(value) + "?echo";
+      const Reply reply = fixture.Get(target);
+      INFO(value);
+      CHECK(reply.status == 200);
+      CHECK(reply.body == target);
+    }
+  }
+  SECTION("in a query") {
+    for (int value = 0x80; value < 256; ++value) {
+      const std::string target = "/scan/1?echo=" + Byte(value);
+      const Reply reply = fixture.Get(target);
+      INFO(value);
+      CHECK(reply.status == 200);
+      CHECK(reply.body == target);
+    }
+  }
+  CHECK(others.CountServed() == kOthers);
+}
