Sidecar: names of starts and keys of records in modules of their own

Moved from requests/quarantine and records/own_records, unchanged: what decodes the store's records needs both without the classes that write them.

--- a/packages/sidecar/include/lycheewell/sidecar/records/own_records.h
+++ b/packages/sidecar/include/lycheewell/sidecar/records/own_records.h
@@ -5,30 +5,15 @@
 #include <deque>
 #include <functional>
 #include <map>
-#include <optional>
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include "lycheewell/sidecar/hooks.h"
+#include "lycheewell/sidecar/records/record_key.h"
 #include "lycheewell/sidecar/timer_queue.h"
 
 namespace lycheewell::sidecar::records {
 
-// The key of such a record, "KIND/DAEMON/ID". The keys of members have no
-// slash.
-struct RecordKey {
-  std::string kind;
-  std::string daemon;
-  std::string id;
-
-  bool operator==(const RecordKey&) const = default;
-};
-
-std::string EncodeKey(const RecordKey& key);
-// Empty for the key of a member.
-std::optional<RecordKey> DecodeKey(std::string_view key);
-
 // Writes the records of one daemon. A record has a key of its own and is never
 // changed into another one, so a write that the store executes late, after a
 // newer one, does no harm.
--- a/packages/sidecar/include/lycheewell/sidecar/requests/quarantine.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/quarantine.h
@@ -7,9 +7,7 @@
 #include <deque>
 #include <functional>
 #include <map>
-#include <optional>
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include "lycheewell/core/quarantine/crash_marks.h"
@@ -69,11 +67,6 @@
   std::deque<std::string> record_ids;  // oldest first
 };
 
-// Name of one start of a target, "instance@born".
-std::string StartName(const core::DaemonRef& start);
-// Empty if `name` is not such a name.
-std::optional<core::DaemonRef> ParseStartName(std::string_view name);
-
 }  // namespace lycheewell::sidecar::requests
 
 #endif  // LYCHEEWELL_SIDECAR_REQUESTS_QUARANTINE_H_
--- a/packages/sidecar/src/records/own_records.cpp
+++ b/packages/sidecar/src/records/own_records.cpp
@@ -13,25 +13,6 @@
 
 }  // namespace
 
-std::string EncodeKey(const RecordKey& key) {
-  return key.kind + "/" + key.daemon + "/" + key.id;
-}
-
-std::optional<RecordKey> DecodeKey(std::string_view key) {
-  const std::size_t kind_end = key.find('/');
-  if (kind_end == std::string_view::npos) {
-    return std::nullopt;
-  }
-  const std::size_t daemon_end = key.find('/', kind_end + 1);
-  if (daemon_end == std::string_view::npos) {
-    return std::nullopt;
-  }
-  return RecordKey{.kind = std::string(key.substr(0, kind_end)),
-                   .daemon = std::string(
-                       key.substr(kind_end + 1, daemon_end - kind_end - 1)),
-                   .id = std::string(key.substr(daemon_end + 1))};
-}
-
 OwnRecords::OwnRecords(TimerQueue& new_timers, const StoreHooks& new_store,
                        std::string new_daemon)
     : timers(new_timers), store(new_store), daemon(std::move(new_daemon)) {}
--- a/packages/sidecar/src/requests/gate.cpp
+++ b/packages/sidecar/src/requests/gate.cpp
@@ -4,12 +4,14 @@
 #include <boost/asio/post.hpp>
 #include <utility>
 
+#include "lycheewell/core/membership/start_name.h"
 #include "lycheewell/core/overload/call_patience.h"
 #include "lycheewell/io/http/address.h"
 #include "lycheewell/sidecar/clock.h"
 #include "lycheewell/sidecar/http/connect_probe.h"
 
 namespace lycheewell::sidecar::requests {
+using core::membership::StartName;
 using daemon::events::Event;
 
 namespace {
@@ -844,7 +846,7 @@
         {{"instance", announcement.instance},
          {"born_ms", std::to_string(announcement.born_ms)},
          {"sequence", std::to_string(announcement.sequence)},
-         {"known", requests::StartName(this->starts.current())},
+         {"known", StartName(this->starts.current())},
          {"reason", verdict == ReportVerdict::kKnown
                         ? "older than the latest announcement"
                         : "from another start than the current one"}});
--- a/packages/sidecar/src/requests/quarantine.cpp
+++ b/packages/sidecar/src/requests/quarantine.cpp
@@ -1,14 +1,15 @@
 #include "lycheewell/sidecar/requests/quarantine.h"
 
 #include <algorithm>
-#include <charconv>
 #include <chrono>
 #include <utility>
 
+#include "lycheewell/core/membership/start_name.h"
 #include "lycheewell/sidecar/clock.h"
 #include "lycheewell/sidecar/records/own_records.h"
 
 namespace lycheewell::sidecar::requests {
+using core::membership::StartName;
 using core::quarantine::CrashMark;
 using core::quarantine::QuarantineStatus;
 using daemon::events::Event;
@@ -55,25 +56,6 @@
 
 }  // namespace
 
-std::string StartName(const core::DaemonRef& start) {
-  return start.id + "@" + std::to_string(start.incarnation);
-}
-
-std::optional<core::DaemonRef> ParseStartName(std::string_view name) {
-  const std::size_t separator = name.rfind('@');
-  if (separator == std::string_view::npos) {
-    return std::nullopt;
-  }
-  core::DaemonRef start{.id = std::string(name.substr(0, separator))};
-  const std::string_view born = name.substr(separator + 1);
-  const auto [end, error] = std::from_chars(
-      born.data(), born.data() + born.size(), start.incarnation);
-  if (error != std::errc() || end != born.data() + born.size()) {
-    return std::nullopt;
-  }
-  return start;
-}
-
 Quarantine::Quarantine(TimerQueue& new_timers, DecisionLog& new_log,
                        Options new_options)
     : timers(new_timers), log(new_log), options(std::move(new_options)) {}
--- a/packages/sidecar/src/requests/target_notices.cpp
+++ b/packages/sidecar/src/requests/target_notices.cpp
@@ -2,10 +2,12 @@
 #include <algorithm>
 #include <string>
 
+#include "lycheewell/core/membership/start_name.h"
 #include "lycheewell/sidecar/clock.h"
 #include "lycheewell/sidecar/requests/gate.h"
 
 namespace lycheewell::sidecar::requests {
+using core::membership::StartName;
 using daemon::events::Event;
 
 namespace {
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -8,6 +8,7 @@
 #include <sstream>
 
 #include "lycheewell/core/membership/retired_starts.h"
+#include "lycheewell/core/membership/start_name.h"
 #include "lycheewell/core/overload/connection_admission.h"
 #include "lycheewell/core/overload/demand_sums.h"
 #include "lycheewell/core/overload/known_limits.h"
@@ -31,6 +32,8 @@
 
 namespace lycheewell::sidecar {
 namespace asio = boost::asio;
+using core::membership::ParseStartName;
+using core::membership::StartName;
 using core::routing::Distance;
 using daemon::events::Event;
 
@@ -146,7 +149,7 @@
               .on_change = [this] { this->OnTargetChange(); },
               .on_departure =
                   [this](const core::DaemonRef& start) {
-                    this->departures.Store(requests::StartName(start), [] {});
+                    this->departures.Store(StartName(start), [] {});
                   },
               .last_starved_call =
                   [this] { return this->front.last_starved_call(); },
@@ -359,7 +362,7 @@
               }
               if (const auto known = this->known_limits.LimitBeside(receiver)) {
                 hello.mutable_target_limit()->set_start(
-                    requests::StartName(known->start));
+                    StartName(known->start));
                 hello.mutable_target_limit()->set_per_second(known->per_second);
               }
               if (!receiver.empty()) {
@@ -418,7 +421,7 @@
 
   // A start of the target beside this daemon has left, as others remember.
   void RetireOwn(const std::string& name) {
-    if (const auto start = requests::ParseStartName(name)) {
+    if (const auto start = ParseStartName(name)) {
       this->gate.Retire(*start);
     } else {
       this->log.Write(
@@ -428,7 +431,7 @@
   }
 
   void RecallLimit(const mesh::TargetLimit& known) {
-    const auto start = requests::ParseStartName(known.start());
+    const auto start = ParseStartName(known.start());
     if (start && std::isfinite(known.per_second()) && known.per_second() >= 0) {
       this->gate.RecallLimit(*start, known.per_second());
     } else {
@@ -883,7 +886,7 @@
   // is stored first.
   void AcknowledgeDeparture(const Announcement& announcement,
                             const http::ExchangePointer& exchange) {
-    const std::string start = requests::StartName(
+    const std::string start = StartName(
         {.id = announcement.instance, .incarnation = announcement.born_ms});
     // The first answer counts.
     this->timers.After(kAcknowledgementTimeout,
