Store: an unreadable record costs only itself

What callers saw: after a target with the id i-(0xFF)(0xFE) had left and all daemons had been started anew, no request was served on another VM any more.

Cause: the departure is stored under a key that contains the id. Its byte made the whole page of the newest records malformed for the JSON parser, the list of the records was read again without end, and no daemon learned of another one. A daemon that did read the key repeated it to the target's daemon in its Hello.

The store's answers are decoded in one place, platform/src/store_decoder. Invalid UTF-8 and lone surrogates in a page are tolerated; an entry of another type, without a key or with a damaged value is left out and counted. What a record says is decoded by records/fleet_records: names in keys and values are checked against core/names, the one place that says which bytes an instance's name may have. Log lines name the records that were left out.

--- a/packages/core/include/lycheewell/core/membership/start_name.h
+++ b/packages/core/include/lycheewell/core/membership/start_name.h
@@ -14,7 +14,8 @@
 // "INSTANCE@BORN", with the time of birth in Unix milliseconds.
 std::string StartName(const DaemonRef& start);
 
-// Empty if `name` is not such a name.
+// Nothing if `name` is not such a name or its instance is not as in
+// IsInstanceName.
 std::optional<DaemonRef> ParseStartName(std::string_view name);
 
 }  // namespace lycheewell::core::membership
--- a/packages/core/src/membership/start_name.cpp
+++ b/packages/core/src/membership/start_name.cpp
@@ -2,6 +2,8 @@
 
 #include <charconv>
 
+#include "lycheewell/core/names.h"
+
 namespace lycheewell::core::membership {
 
 std::string StartName(const DaemonRef& start) {
@@ -10,7 +12,8 @@
 
 std::optional<DaemonRef> ParseStartName(std::string_view name) {
   const std::size_t separator = name.rfind('@');
-  if (separator == std::string_view::npos) {
+  if (separator == std::string_view::npos ||
+      !IsInstanceName(name.substr(0, separator))) {
     return std::nullopt;
   }
   DaemonRef start{.id = std::string(name.substr(0, separator))};
--- a/packages/sidecar/include/lycheewell/sidecar/hooks.h
+++ b/packages/sidecar/include/lycheewell/sidecar/hooks.h
@@ -131,6 +131,7 @@
   bool is_caught_up = true;
   // The evacuations in the same records; its end is `next_offset`.
   core::membership::EvacuationRead evacuations;
+  std::size_t unreadable_records = 0;
 
   bool operator==(const StoredManifest&) const = default;
 };
@@ -143,6 +144,13 @@
   bool operator==(const StoredRecord&) const = default;
 };
 
+struct StoredRecords {
+  std::vector<StoredRecord> records;
+  std::size_t unreadable = 0;
+
+  bool operator==(const StoredRecords&) const = default;
+};
+
 template <typename Value>
 using StoreCallback = std::function<void(std::variant<Value, StoreError>)>;
 
@@ -160,7 +168,8 @@
   // Writes all of the records or none.
   std::function<void(const std::vector<StoredRecord>&, StoreCallback<Done>)>
       put_records;
-  std::function<void(StoreCallback<std::vector<StoredRecord>>)> list_records;
+  // Records that cannot be read are left out.
+  std::function<void(StoreCallback<StoredRecords>)> list_records;
 };
 
 }  // namespace lycheewell::sidecar
--- a/packages/sidecar/include/lycheewell/sidecar/links/mesh.h
+++ b/packages/sidecar/include/lycheewell/sidecar/links/mesh.h
@@ -16,7 +16,7 @@
 #include "lycheewell/sidecar/decision_log.h"
 #include "lycheewell/sidecar/hooks.h"
 #include "lycheewell/sidecar/links/link.h"
-#include "lycheewell/sidecar/records/own_records.h"
+#include "lycheewell/sidecar/records/fleet_records.h"
 #include "lycheewell/sidecar/settings.h"
 #include "lycheewell/sidecar/timer_queue.h"
 
@@ -65,8 +65,7 @@
     std::function<void(mesh::Hello&, const std::string& receiver)> fill_hello;
     std::function<void(const mesh::Hello&)> on_hello;
     // A record other than a member's was found in the store at the start.
-    std::function<void(const records::RecordKey&, const std::string& value)>
-        on_record;
+    std::function<void(const records::FleetRecord&)> on_record;
   };
 
   struct Options {
@@ -174,6 +173,7 @@
   // Writes this daemon's record to the store, then reads all records.
   void RegisterSelf();
   void ListRecords();
+  void OnRecord(const StoredRecord& stored);
   // Adds or updates a member unless a record with the same or a newer
   // incarnation is known.
   void UpdateMember(const mesh::Member& member);
--- a/packages/sidecar/src/links/mesh.cpp
+++ b/packages/sidecar/src/links/mesh.cpp
@@ -158,28 +158,39 @@
 
 void Mesh::ListRecords() {
   this->options.store.list_records([this](auto result) {
-    auto* stored_records = std::get_if<std::vector<StoredRecord>>(&result);
-    if (stored_records == nullptr) {
+    const auto* stored = std::get_if<StoredRecords>(&result);
+    if (stored == nullptr) {
       this->timers.After(kRetryDelay, [this] { this->ListRecords(); });
       return;
     }
     this->listed = true;
-    for (const StoredRecord& stored : *stored_records) {
-      if (const auto key = records::DecodeKey(stored.key)) {
-        this->options.hooks.on_record(*key, stored.value);
-        continue;
-      }
-      mesh::Member member;
-      if (!member.ParseFromString(stored.value)) {
-        this->log.Write(Event::kBadPeerMessage,
-                        {{"source", "store"}, {"key", stored.key}});
-        continue;
-      }
-      this->UpdateMember(member);
+    if (stored->unreadable > 0) {
+      this->log.Write(Event::kBadPeerMessage,
+                      {{"source", "store"},
+                       {"reason", "unreadable records"},
+                       {"records", std::to_string(stored->unreadable)}});
+    }
+    for (const StoredRecord& record : stored->records) {
+      this->OnRecord(record);
     }
   });
 }
 
+void Mesh::OnRecord(const StoredRecord& stored) {
+  const records::FleetRecord record = records::DecodeFleetRecord(stored);
+  if (const auto* member = std::get_if<mesh::Member>(&record)) {
+    this->UpdateMember(*member);
+    return;
+  }
+  if (const auto* problem = std::get_if<Unusable>(&record)) {
+    this->log.Write(Event::kBadPeerMessage, {{"source", "store"},
+                                             {"key", stored.key},
+                                             {"reason", problem->reason}});
+    return;
+  }
+  this->options.hooks.on_record(record);
+}
+
 void Mesh::UpdateMember(const mesh::Member& member) {
   if (member.name() == this->self.name() || member.name().empty() ||
       !io::http::TryParseEndpoint(member.address())) {
--- a/packages/sidecar/src/manifest/manifest_keeper.cpp
+++ b/packages/sidecar/src/manifest/manifest_keeper.cpp
@@ -98,6 +98,12 @@
     return;
   }
   this->era = stored.evacuations.end.era;
+  if (stored.unreadable_records > 0) {
+    this->log.Write(Event::kBadPeerMessage,
+                    {{"source", "store"},
+                     {"reason", "unreadable records of the operators"},
+                     {"records", std::to_string(stored.unreadable_records)}});
+  }
   if (this->on_read) {
     this->on_read(stored);
   }
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -59,11 +59,6 @@
 // store.
 constexpr std::string_view kStoreReaderRole = "manifest";
 
-// Kinds of records in the store: crashed targets, and starts of targets that
-// have said that they leave.
-constexpr std::string_view kCrashRecords = "crash";
-constexpr std::string_view kDepartureRecords = "departure";
-
 // A departure that is not stored by then is not acknowledged. The target waits
 // for a second.
 constexpr core::Duration kAcknowledgementTimeout =
@@ -139,8 +134,8 @@
         own_records(this->timers, this->store, this->options.settings.name),
         departures([this](const std::string& start,
                           const std::function<void()>& done) {
-          this->own_records.Put(std::string(kDepartureRecords), start, start,
-                                done);
+          this->own_records.Put(std::string(records::kDepartureRecords), start,
+                                start, done);
         }),
         quarantine(this->timers, this->log, this->QuarantineHooks()),
         gate(this->context, this->timers, this->log,
@@ -387,8 +382,8 @@
               }
             },
         .on_record =
-            [this](const records::RecordKey& key, const std::string& value) {
-              this->OnRecord(key, value);
+            [this](const records::FleetRecord& record) {
+              this->OnRecord(record);
             }};
   }
 
@@ -414,8 +409,8 @@
             [this](const mesh::Frame& frame) { this->mesh.Broadcast(frame); },
         .put_record =
             [this](const std::string& id, const std::string& value) {
-              this->own_records.Put(std::string(kCrashRecords), id, value,
-                                    [] {});
+              this->own_records.Put(std::string(records::kCrashRecords), id,
+                                    value, [] {});
             }};
   }
 
@@ -442,22 +437,22 @@
   }
 
   // Takes over what daemons knew before a restart.
-  void OnRecord(const records::RecordKey& key, const std::string& value) {
-    this->own_records.Recall(key);
-    if (key.kind == kDepartureRecords) {
-      if (key.daemon == this->options.settings.name) {
-        this->RetireOwn(key.id);
-      } else {
-        this->retired_starts.Record(key.daemon, key.id);
-      }
-    } else if (key.kind == kCrashRecords) {
-      mesh::CrashMarks known;
-      if (known.ParseFromString(value)) {
-        this->quarantine.Apply(known);
+  void OnRecord(const records::FleetRecord& record) {
+    if (const auto* departure =
+            std::get_if<records::DepartureRecord>(&record)) {
+      this->own_records.Recall(departure->key);
+      if (departure->key.daemon == this->options.settings.name) {
+        this->gate.Retire(departure->start);
       } else {
-        this->log.Write(Event::kBadPeerMessage,
-                        {{"source", "store"}, {"key", key.id}});
+        this->retired_starts.Record(departure->key.daemon,
+                                    StartName(departure->start));
       }
+    } else if (const auto* crash = std::get_if<records::CrashRecord>(&record)) {
+      this->own_records.Recall(crash->key);
+      this->quarantine.Apply(crash->marks);
+    } else if (const auto* unknown =
+                   std::get_if<records::UnknownRecord>(&record)) {
+      this->own_records.Recall(unknown->key);
     }
   }
 
--- a/tests/harness/store.cpp
+++ b/tests/harness/store.cpp
@@ -73,6 +73,10 @@
   this->Append("keyed.op", "config", document);
 }
 
+void Store::PutFleetRecord(const std::string& key, const std::string& value) {
+  this->Append("keyed.lycheewell-members", key, value);
+}
+
 void Store::Evacuate(const std::string& data_centre) {
   this->Append("keyed.op", "evacuate/" + data_centre, "{}");
 }
--- a/tests/harness/store.h
+++ b/tests/harness/store.h
@@ -50,6 +50,8 @@
   // Commands.
 
   void PutManifest(const std::string& document);
+  // Writes a record of the daemons' topic.
+  void PutFleetRecord(const std::string& key, const std::string& value);
   // The operator evacuates a data centre or takes that back.
   void Evacuate(const std::string& data_centre);
   void TakeBack(const std::string& data_centre);
--- a/tests/sidecar/unreadable_bytes_test.cpp
+++ b/tests/sidecar/unreadable_bytes_test.cpp
@@ -1,5 +1,6 @@
 // Text that is not valid UTF-8, sent to real daemons while requests of other
 // clients are running on the same link.
+#include <mesh.pb.h>
 #include <signal.h>
 
 #include <atomic>
@@ -25,6 +26,7 @@
 
 constexpr int kSlots = 64;
 constexpr int kOthers = 10;
+constexpr int kRequests = 100;
 constexpr milliseconds kReportPeriod{300};
 constexpr milliseconds kClientLimit{6000};
 
@@ -112,11 +114,27 @@
         Eventually([&] { return this->first.Call("/pay/1").status == 200; }));
   }
 
+  void RestartAll() {
+    this->first.process->Kill();
+    this->second.process->Kill();
+    this->first.Start();
+    this->second.Start();
+    this->AwaitReady();
+  }
+
   Reply Get(const std::string& target, const std::string& id = "") const {
     return SendRequest(this->first.base_port, Verb::get, target, "k1", "",
                        kClientLimit, id);
   }
 
+  int CountServed() {
+    int served = 0;
+    for (int i = 0; i < kRequests; ++i) {
+      served += this->first.Call("/pay/1").status == 200 ? 1 : 0;
+    }
+    return served;
+  }
+
   // Waits until the others are at work.
   void AwaitAtWork(int runs_before) {
     REQUIRE(Eventually(
@@ -169,3 +187,39 @@
   }
   CHECK(others.CountServed() == kOthers);
 }
+
+// Guards against daemons that learn of no member, or never open a link, because
+// of a record that an earlier version wrote.
+TEST_CASE("Unreadable records in the store do not affect the others",
+          "[sidecar][unreadable]") {
+  Fixture fixture;
+  const Reporter reporter(fixture.second);
+  fixture.AwaitServed();
+  mesh::CrashMarks marks;
+  marks.add_marks()->set_fingerprint("f\xff");
+  marks.mutable_marks(0)->set_instance("i-\xff\xfe");
+  mesh::Member member;
+  member.set_name("vm-\xff");
+  member.set_address("127.0.0.1:1");
+  for (const std::string vm : {"vm-0", "vm-1"}) {
+    fixture.store.PutFleetRecord("departure/" + vm + "/i-\xff\xfe@5", "i");
+    fixture.store.PutFleetRecord("crash/" + vm + "/i-\xff\xfe@5",
+                                 marks.SerializeAsString());
+  }
+  fixture.store.PutFleetRecord("vm-\xff", member.SerializeAsString());
+  fixture.store.PutFleetRecord("vm-9", "\xff\xff");
+  fixture.RestartAll();
+  fixture.AwaitServed();
+  CHECK(fixture.CountServed() == kRequests);
+  CHECK(fixture.first.Log().find("link-lost") == std::string::npos);
+
+  SECTION("and a target that leaves now is still remembered") {
+    REQUIRE(fixture.second.Deregister() == 200);
+    fixture.RestartAll();
+    const int runs = fixture.second.target->runs;
+    for (int i = 0; i < kRequests / 5; ++i) {
+      fixture.first.Call("/pay/1");
+    }
+    CHECK(fixture.second.target->runs == runs);
+  }
+}
