Reports: an id that is no name is refused

What callers saw: a liveness report of another writer with the bytes 0xFF 0xFE in its id was acknowledged.

Cause: the adapter took any bytes of the path for an id. PROTOCOL.md: such a report "names no backend to use; the others hold". An id becomes part of a record's key of at most 255 bytes.

--- a/tests/sidecar/unreadable_bytes_test.cpp
+++ b/tests/sidecar/unreadable_bytes_test.cpp
@@ -32,6 +32,26 @@
 
 std::string Byte(int value) { return {static_cast<char>(value)}; }
 
+std::uint64_t UnixMilliseconds() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+// The body of a report by a target that was born just now.
+std::string ReportBody(const std::string& state) {
+  return R"({"address":"127.0.0.1:1","born":)" +
+         std::to_string(UnixMilliseconds()) +
+         R"(,"info":{"service":"s","version":"v1","zone":"z","slots":64},)"
+         R"("status":{"state":")" +
+         state + R"(","seq":1,"cold_time":"0ms"}})";
+}
+
+std::string HeartbeatPath(const std::string& instance) {
+  return "/v1/instances/" + instance + "/heartbeat";
+}
+
 // Unsafe requests of other clients that run while a test goes on.
 class Others {
  public:
@@ -188,6 +208,47 @@
   CHECK(others.CountServed() == kOthers);
 }
 
+// Guards against a report of another writer that replaces a sound target, whose
+// calls then end.
+TEST_CASE("An unreadable report names no target and replaces none",
+          "[sidecar][unreadable]") {
+  Fixture fixture;
+  const Reporter reporter(fixture.second);
+  fixture.AwaitServed();
+  const int runs = fixture.second.target->runs;
+  Others others(fixture.first, "/long/1?wait=1500");
+  fixture.AwaitAtWork(runs);
+  const auto check_refused = [&](const std::string& path,
+                                 const std::string& body) {
+    INFO(path);
+    INFO(body);
+    CHECK(fixture.second.Report(path, body) == 400);
+  };
+
+  SECTION("by its id") {
+    for (int value = 0x80; value < 256; ++value) {
+      check_refused(HeartbeatPath("i-" + Byte(value)), ReportBody("ready"));
+    }
+    check_refused(HeartbeatPath(std::string(200, 'i')), ReportBody("ready"));
+    check_refused(HeartbeatPath("a/b"), ReportBody("ready"));
+  }
+  SECTION("as its target leaves") {
+    check_refused(HeartbeatPath("i-\xff\xfe"), ReportBody("draining"));
+    check_refused("/v1/instances/i-\xff\xfe/deregister", "");
+  }
+  CHECK(others.CountServed() == kOthers);
+  CHECK(fixture.CountServed() == kRequests);
+
+  SECTION("nor after all daemons have restarted") {
+    check_refused(HeartbeatPath("i-\xff\xfe"), ReportBody("draining"));
+    CHECK(fixture.first.Report(HeartbeatPath("i-\xff\xfe"),
+                               ReportBody("draining")) == 400);
+    fixture.RestartAll();
+    fixture.AwaitServed();
+    CHECK(fixture.CountServed() == kRequests);
+  }
+}
+
 // Guards against daemons that learn of no member, or never open a link, because
 // of a record that an earlier version wrote.
 TEST_CASE("Unreadable records in the store do not affect the others",
