Reports: a field that is missing or of another type names no target

PROTOCOL.md lists what a heartbeat says and has every such report name no target. The adapter took one without an address, a zone, a version or a cold time, or with any of these or the time of birth of another type, and it took a deregistration whose body is no JSON for the current target's own. A new id in such a report replaced the sound target.

The reports of the project's harness and soak and the decoder's own example lacked fields of that list and have them now; the decoder's checks of invalid reports were kept and extended to each field.

--- a/tests/harness/sidecar_vm.cpp
+++ b/tests/harness/sidecar_vm.cpp
@@ -217,7 +217,8 @@
   return SendRequest(this->base_port + 1, Verb::post,
                      "/v1/instances/i-" + this->name + "/heartbeat", "",
                      R"({"born":)" + std::to_string(born) +
-                         R"(,"info":{"service":"s","slots":)" +
+                         R"(,"address":"127.0.0.1:1","info":{"service":"s",)"
+                         R"("version":"v1","zone":"z","slots":)" +
                          std::to_string(slots) + R"(},"status":{"state":")" +
                          state + R"(","seq":)" + std::to_string(report) +
                          R"(,"cold_time":")" + std::to_string(cold_ms) +
--- a/tests/platform/adapter_test.cpp
+++ b/tests/platform/adapter_test.cpp
@@ -6,6 +6,8 @@
 #include <regex>
 #include <set>
 #include <sstream>
+#include <string>
+#include <vector>
 
 namespace {
 using namespace lycheewell;
@@ -196,28 +198,79 @@
           "[platform]") {
   const auto dialect = platform::MakeDialect();
 
+  // The parts of a complete heartbeat.
+  const std::string born = R"("born":17)";
+  const std::string address = R"("address":"127.0.0.1:1")";
+  const std::string info =
+      R"("info":{"service":"s","version":"v1","zone":"z","slots":51})";
+  const std::string status =
+      R"("status":{"state":"draining","seq":4,"cold_time":"2s"})";
+  const auto join = [](std::initializer_list<std::string> parts) {
+    std::string body;
+    for (const std::string& part : parts) {
+      body += (body.empty() ? "{" : ",") + part;
+    }
+    return body + "}";
+  };
+
   SECTION("a complete heartbeat is decoded") {
-    const auto decoded = std::get<
-        sidecar::Announcement>(dialect.decode_announcement(MakeHeartbeat(
-        R"({"born":17,"info":{"service":"s","slots":51},"status":{"state":"draining","seq":4,"cold_time":"2s"}})")));
-    CHECK(decoded ==
-          sidecar::Announcement{.instance = "i-1",
-                                .state = sidecar::TargetState::kLeaving,
-                                .service = "s",
-                                .slots = 51,
-                                .sequence = 4,
-                                .born_ms = 17,
-                                .cold_for = std::chrono::seconds(2)});
+    sidecar::Announcement expected{.instance = "i-1",
+                                   .state = sidecar::TargetState::kLeaving,
+                                   .service = "s",
+                                   .slots = 51,
+                                   .sequence = 4,
+                                   .born_ms = 17,
+                                   .cold_for = std::chrono::seconds(2)};
+    CHECK(std::get<sidecar::Announcement>(dialect.decode_announcement(
+              MakeHeartbeat(join({born, address, info, status})))) == expected);
+
+    SECTION("also without the time of birth") {
+      expected.born_ms = 0;
+      CHECK(std::get<sidecar::Announcement>(dialect.decode_announcement(
+                MakeHeartbeat(join({address, info, status})))) == expected);
+    }
   }
   SECTION("a heartbeat with a missing or invalid field is rejected") {
-    for (
-        const char* body :
-        {"", "{", "[]", "{}", R"({"info":{"service":"s","slots":51}})",
-         R"({"info":{"service":"s","slots":"51"},"status":{"state":"ready","seq":4}})",
-         R"({"info":{"service":"s","slots":0},"status":{"state":"ready","seq":4}})",
-         R"({"info":{"service":"s","slots":-3},"status":{"state":"ready","seq":4}})",
-         R"({"info":{"service":"s","slots":51},"status":{"state":"asleep","seq":4}})",
-         R"({"info":{"service":7,"slots":51},"status":{"state":"ready","seq":4}})"}) {
+    std::vector<std::string> bodies = {
+        "",
+        "{",
+        "[]",
+        "{}",
+        "\xff\xfe",
+        join({info, status}),
+        join({address, info}),
+        join({address, status}),
+        join({R"("address":7)", info, status}),
+        join({R"("born":"17")", address, info, status}),
+        join({R"("born":-17)", address, info, status}),
+        join({R"("born":17.5)", address, info, status})};
+    for (const char* other_info :
+         {R"("info":7)", R"("info":{"version":"v1","zone":"z","slots":51})",
+          R"("info":{"service":7,"version":"v1","zone":"z","slots":51})",
+          R"("info":{"service":"s","zone":"z","slots":51})",
+          R"("info":{"service":"s","version":1,"zone":"z","slots":51})",
+          R"("info":{"service":"s","version":"v1","slots":51})",
+          R"("info":{"service":"s","version":"v1","zone":7,"slots":51})",
+          R"("info":{"service":"s","version":"v1","zone":"z"})",
+          R"("info":{"service":"s","version":"v1","zone":"z","slots":"51"})",
+          R"("info":{"service":"s","version":"v1","zone":"z","slots":0})",
+          R"("info":{"service":"s","version":"v1","zone":"z","slots":-3})",
+          "\"info\":{\"service\":\"s\xff\",\"version\":\"v1\",\"zone\":\"z\","
+          "\"slots\":51}"}) {
+      bodies.push_back(join({address, other_info, status}));
+    }
+    for (const char* other_status :
+         {R"("status":[])", R"("status":{"seq":4,"cold_time":"0ms"})",
+          R"("status":{"state":"ready","cold_time":"0ms"})",
+          R"("status":{"state":"ready","seq":4})",
+          R"("status":{"state":"ready","seq":4,"cold_time":7})",
+          R"("status":{"state":"ready","seq":4,"cold_time":"soon"})",
+          R"("status":{"state":"ready","seq":"4","cold_time":"0ms"})",
+          R"("status":{"state":7,"seq":4,"cold_time":"0ms"})",
+          R"("status":{"state":"asleep","seq":4,"cold_time":"0ms"})"}) {
+      bodies.push_back(join({address, info, other_status}));
+    }
+    for (const std::string& body : bodies) {
       INFO(body);
       CHECK(std::holds_alternative<sidecar::Unusable>(
           dialect.decode_announcement(MakeHeartbeat(body))));
--- a/tests/sidecar/unreadable_bytes_test.cpp
+++ b/tests/sidecar/unreadable_bytes_test.cpp
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "harness/sidecar_vm.h"
@@ -236,6 +237,27 @@
     check_refused(HeartbeatPath("i-\xff\xfe"), ReportBody("draining"));
     check_refused("/v1/instances/i-\xff\xfe/deregister", "");
   }
+  SECTION("by its body") {
+    const std::string path = HeartbeatPath("i-other");
+    check_refused(path, "\xff\xfe");
+    const std::string good = ReportBody("ready");
+    for (const auto& [field, value] :
+         {std::pair("\"address\":\"127.0.0.1:1\"", "\"address\":7"),
+          std::pair("\"born\":", "\"born\":-"),
+          std::pair("\"service\":\"s\"", "\"service\":\"s\xff\""),
+          std::pair("\"version\":\"v1\",", ""),
+          std::pair("\"zone\":\"z\"", "\"zone\":7"),
+          std::pair("\"slots\":64", "\"slots\":\"64\""),
+          std::pair("\"state\":\"ready\"", "\"state\":7"),
+          std::pair("\"seq\":1", "\"seq\":-1"),
+          std::pair("\"cold_time\":\"0ms\"", "\"cold_time\":7")}) {
+      std::string body = good;
+      body.replace(body.find(field), std::string_view(field).size(), value);
+      check_refused(path, body);
+    }
+    check_refused("/v1/instances/i-vm-1/deregister", "\xff\xfe");
+    check_refused("/v1/instances/i-vm-1/deregister", R"({"born":"1"})");
+  }
   CHECK(others.CountServed() == kOthers);
   CHECK(fixture.CountServed() == kRequests);
 
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -147,9 +147,10 @@
     const std::lock_guard lock(vm.mutex);
     path = "/v1/instances/" + vm.instance + "/heartbeat";
     body = R"({"born":)" + std::to_string(vm.born_ms) +
-           R"(,"info":{"service":"s","slots":8},"status":{"state":")" + state +
-           R"(","seq":)" + std::to_string(++vm.sequence) + R"(,"cold_time":")" +
-           std::to_string(cold_left.count()) + R"(ms"}})";
+           R"(,"address":"127.0.0.1:1","info":{"service":"s","version":"v1",)"
+           R"("zone":"z","slots":8},"status":{"state":")" +
+           state + R"(","seq":)" + std::to_string(++vm.sequence) +
+           R"(,"cold_time":")" + std::to_string(cold_left.count()) + R"(ms"}})";
   }
   const bool is_acknowledged =
       HttpConnection(this->BasePort(number) + kAnnouncements)
