Links: an unreadable frame ends one call, not the link

What callers saw: any frame that a daemon could not parse closed its link, and the calls of all clients on it ended with 502 while their targets were at work.

Cause: Link::Dispatch took a frame that protobuf rejects for a corrupt stream. The length ahead of each frame shows where the next one begins, so only an impossible length leaves the stream without a next frame.

links/frame_reader, split from Link, reads frames and slices; frame_codec finds the kind and the id of an unreadable frame in its first bytes; message_checks says which parts of a frame are valid. An unreadable call is answered as not run, an unreadable reply ends its call as one that may have run (502), and invalid entries (targets, members, marks, starts, limits, evacuations, counts, times that would overflow) are left out. LW1006 names the peer, the reason and the call. Calls and replies are valid HTTP messages or unreadable.

The calls of link_test had no instance, method or path, which no daemon sends; they are whole calls now. Its checks are the same.

--- a/packages/sidecar/include/lycheewell/sidecar/links/accepted_calls.h
+++ b/packages/sidecar/include/lycheewell/sidecar/links/accepted_calls.h
@@ -39,6 +39,10 @@
   // Removes the calls of a link that has closed.
   std::vector<Ticket> TakeAll(const LinkPointer& link);
 
+  // Queries.
+
+  bool Contains(const LinkPointer& link, std::uint64_t call_id) const;
+
  private:
   std::map<LinkPointer, std::unordered_map<std::uint64_t, Ticket>> tickets;
 };
--- a/packages/sidecar/include/lycheewell/sidecar/links/link.h
+++ b/packages/sidecar/include/lycheewell/sidecar/links/link.h
@@ -9,13 +9,14 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "lycheewell/core/types.h"
+#include "lycheewell/sidecar/links/frame_codec.h"
+#include "lycheewell/sidecar/links/frame_reader.h"
 
 namespace lycheewell::sidecar::links {
 
@@ -35,6 +36,13 @@
     std::function<void(const std::shared_ptr<Link>&, const std::string& reason)>
         on_closed;
     std::function<void(const std::shared_ptr<Link>&)> on_connected;
+    // A frame could not be read. The link goes on.
+    std::function<void(const std::shared_ptr<Link>&, const UnreadableFrame&)>
+        on_unreadable;
+    // Fields of the frame that comes next could not be read.
+    std::function<void(const std::shared_ptr<Link>&,
+                       const std::vector<std::string_view>& fields)>
+        on_left_out;
   };
 
   Link(boost::asio::io_context& context, Hooks hooks);
@@ -102,11 +110,8 @@
   // of this id.
   bool AbortPartlySent(std::uint64_t call_id);
   void Fail(const std::string& reason);
-  // Handles all complete frames; false when the link has closed.
-  bool DispatchFrames();
-  // Handles one frame's bytes; false when the link has closed.
-  bool Dispatch(const char* bytes, std::size_t size, bool is_joined);
-  bool Join(const mesh::Slice& slice);
+  // Returns whether the link is still open.
+  bool Dispatch(FrameReader::Message& message);
 
   boost::asio::ip::tcp::socket socket;
   Hooks hooks;
@@ -115,10 +120,7 @@
   std::size_t queued_bytes = 0;
   std::string in_flight;
   std::uint32_t last_stream = 0;
-  std::vector<char> incoming;
-  std::size_t incoming_size = 0;  // bytes of `incoming` that hold data
-  std::map<std::uint32_t, std::string> joined;  // slices received, by stream
-  std::size_t joined_bytes = 0;
+  FrameReader reader;
   std::optional<std::int64_t> peer_clock_offset_us;
   core::Instant received_at;
   bool open = false;
--- a/packages/sidecar/include/lycheewell/sidecar/links/mesh.h
+++ b/packages/sidecar/include/lycheewell/sidecar/links/mesh.h
@@ -31,6 +31,9 @@
   struct Hooks {
     // Called for every frame except Hello and Member.
     std::function<void(const LinkPointer&, mesh::Frame&)> on_frame;
+    // A call or a reply could not be read.
+    std::function<void(const LinkPointer&, const UnreadableFrame&)>
+        on_unreadable;
     // The peer's Hello described its local target.
     std::function<void(const std::string& member, const mesh::Target&)>
         on_target;
@@ -187,6 +190,9 @@
   void ScheduleRedial(const std::string& name, bool reset_backoff);
   void SendHello(const LinkPointer& link);
   void OnFrame(const LinkPointer& link, mesh::Frame& frame, bool is_dialled);
+  void OnUnreadable(const LinkPointer& link, const UnreadableFrame& unreadable);
+  void LogLeftOut(const LinkPointer& link,
+                  const std::vector<std::string_view>& fields);
   void OnDialledClosed(const LinkPointer& link, const std::string& reason);
   // Detaches the dialled link from its member, which becomes unreachable.
   void DetachDialled(Peer& peer, const std::string& reason);
--- a/packages/sidecar/include/lycheewell/sidecar/links/message_checks.h
+++ b/packages/sidecar/include/lycheewell/sidecar/links/message_checks.h
@@ -5,6 +5,7 @@
 
 #include <mesh.pb.h>
 
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -16,6 +17,13 @@
 // Removes invalid marks. Returns a name for each of them.
 std::vector<std::string_view> RemoveInvalid(mesh::CrashMarks& marks);
 
+// Why nothing in the frame can be used; empty if something can.
+std::optional<std::string_view> FaultOf(const mesh::Frame& frame);
+
+// Removes the invalid parts of a frame without such a fault. Returns a name for
+// each of them.
+std::vector<std::string_view> RemoveInvalid(mesh::Frame& frame);
+
 }  // namespace lycheewell::sidecar::links
 
 #endif  // LYCHEEWELL_SIDECAR_LINKS_MESSAGE_CHECKS_H_
--- a/packages/sidecar/include/lycheewell/sidecar/requests/frontend.h
+++ b/packages/sidecar/include/lycheewell/sidecar/requests/frontend.h
@@ -57,6 +57,9 @@
 
   // Handles the reply of daemon `member` to a call that was sent to it.
   void OnReply(const std::string& member, mesh::Reply& reply);
+  // The reply to a call that was sent on link `link_id` could not be read.
+  void OnUnreadableReply(std::uint64_t link_id, std::uint64_t call_id,
+                         const std::string& reason);
 
   // Ends the unanswered calls on link `link_id`: they may have run.
   void OnLinkLost(std::uint64_t link_id);
--- a/packages/sidecar/src/links/accepted_calls.cpp
+++ b/packages/sidecar/src/links/accepted_calls.cpp
@@ -62,4 +62,10 @@
   return taken;
 }
 
+bool AcceptedCalls::Contains(const LinkPointer& link,
+                             std::uint64_t call_id) const {
+  const auto calls = this->tickets.find(link);
+  return calls != this->tickets.end() && calls->second.contains(call_id);
+}
+
 }  // namespace lycheewell::sidecar::links
--- a/packages/sidecar/src/links/link.cpp
+++ b/packages/sidecar/src/links/link.cpp
@@ -7,7 +7,6 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
-#include <cstring>
 
 #include "lycheewell/sidecar/clock.h"
 #include "lycheewell/sidecar/http/socket_options.h"
@@ -18,16 +17,6 @@
 
 namespace {
 
-constexpr std::size_t kLengthPrefixBytes = 4;
-constexpr std::size_t kInitialBufferBytes = 16 * 1024;
-
-// A frame holds at most one body, so a larger length means a corrupt stream.
-constexpr std::size_t kMaxFrameBytes = 10ULL * 1024 * 1024;
-
-// Slices of all incomplete frames of a link. It exceeds the bodies for which a
-// daemon that sends has memory.
-constexpr std::size_t kMaxJoinedBytes = 32ULL * 1024 * 1024;
-
 constexpr std::size_t kSliceBytes = 16 * 1024;
 
 // Bytes handed to the kernel at a time, and those that it queues beside what is
@@ -48,38 +37,27 @@
   set(TCP_NOTSENT_LOWAT, kMaxKernelQueueBytes);
 }
 
-std::string WithLength(const mesh::Frame& frame) {
-  const std::size_t length = frame.ByteSizeLong();
-  std::string bytes;
-  bytes.reserve(kLengthPrefixBytes + length);
-  for (std::size_t i = kLengthPrefixBytes; i-- > 0;) {
-    bytes += static_cast<char>((length >> (8 * i)) & 0xffU);
-  }
-  frame.AppendToString(&bytes);
-  return bytes;
-}
-
 std::int64_t Microseconds(core::Instant when) {
   return std::chrono::duration_cast<std::chrono::microseconds>(
              when.time_since_epoch())
       .count();
 }
 
-std::size_t ReadLength(const char* bytes) {
-  std::size_t length = 0;
-  for (std::size_t i = 0; i < kLengthPrefixBytes; ++i) {
-    length = (length << 8U) | static_cast<unsigned char>(bytes[i]);
-  }
-  return length;
-}
-
 }  // namespace
 
 Link::Link(asio::io_context& context, Hooks new_hooks)
-    : socket(context), hooks(std::move(new_hooks)) {}
+    : socket(context),
+      hooks(std::move(new_hooks)),
+      reader([this](FrameReader::Message& message) {
+        return this->Dispatch(message);
+      }) {}
 
 Link::Link(tcp::socket new_socket, Hooks new_hooks)
-    : socket(std::move(new_socket)), hooks(std::move(new_hooks)) {
+    : socket(std::move(new_socket)),
+      hooks(std::move(new_hooks)),
+      reader([this](FrameReader::Message& message) {
+        return this->Dispatch(message);
+      }) {
   SetLinkOptions(this->socket);
 }
 
@@ -112,7 +90,6 @@
 void Link::Start() {
   this->open = true;
   this->received_at = Now();
-  this->incoming.resize(kInitialBufferBytes);
   this->Read();
 }
 
@@ -162,7 +139,7 @@
                              this->AbortPartlySent(frame.cancel().call_id()))) {
     return;
   }
-  Outgoing outgoing{.bytes = WithLength(frame),
+  Outgoing outgoing{.bytes = EncodeFrame(frame),
                     .call_id = frame.has_call() ? frame.call().call_id() : 0,
                     .queued_at = Now()};
   this->queued_bytes += outgoing.bytes.size();
@@ -228,7 +205,7 @@
   frame.sent += size;
   slice.set_is_last(frame.sent == frame.bytes.size());
   this->queued_bytes -= size;
-  this->in_flight += WithLength(part);
+  this->in_flight += EncodeFrame(part);
   if (!slice.is_last()) {
     // The streams take turns.
     this->sliced_frames.push_back(std::move(frame));
@@ -271,9 +248,9 @@
 }
 
 void Link::Read() {
+  const std::span<char> buffer = this->reader.Buffer();
   this->socket.async_read_some(
-      asio::buffer(this->incoming.data() + this->incoming_size,
-                   this->incoming.size() - this->incoming_size),
+      asio::buffer(buffer.data(), buffer.size()),
       [self = this->shared_from_this()](const boost::system::error_code& error,
                                         std::size_t size) {
         if (self->closed) {
@@ -284,91 +261,30 @@
           return;
         }
         self->received_at = Now();
-        self->incoming_size += size;
-        if (self->DispatchFrames() && !self->closed) {
+        const bool reads_on = self->reader.Take(size);
+        if (!self->reader.error().empty()) {
+          self->Fail(self->reader.error());
+        } else if (reads_on && !self->closed) {
           self->Read();
         }
       });
 }
 
-bool Link::DispatchFrames() {
-  std::size_t parsed_size = 0;
-  while (this->incoming_size - parsed_size >= kLengthPrefixBytes) {
-    const std::size_t length = ReadLength(this->incoming.data() + parsed_size);
-    if (length > kMaxFrameBytes) {
-      this->Fail("frame too long: " + std::to_string(length) + " bytes");
-      return false;
-    }
-    if (this->incoming_size - parsed_size < kLengthPrefixBytes + length) {
-      if (this->incoming.size() < kLengthPrefixBytes + length) {
-        this->incoming.resize(kLengthPrefixBytes + length);
-      }
-      break;
+bool Link::Dispatch(FrameReader::Message& message) {
+  if (const auto* unreadable = std::get_if<UnreadableFrame>(&message)) {
+    if (this->hooks.on_unreadable) {
+      this->hooks.on_unreadable(this->shared_from_this(), *unreadable);
     }
-    const char* bytes =
-        this->incoming.data() + parsed_size + kLengthPrefixBytes;
-    parsed_size += kLengthPrefixBytes + length;
-    constexpr bool kIsJoined = false;
-    if (!this->Dispatch(bytes, length, kIsJoined)) {
-      return false;
-    }
-  }
-  std::memmove(this->incoming.data(), this->incoming.data() + parsed_size,
-               this->incoming_size - parsed_size);
-  this->incoming_size -= parsed_size;
-  if (this->incoming_size == 0 &&
-      this->incoming.size() > 16 * kInitialBufferBytes) {
-    this->incoming.resize(kInitialBufferBytes);
-    this->incoming.shrink_to_fit();
-  }
-  return true;
-}
-
-bool Link::Dispatch(const char* bytes, std::size_t size, bool is_joined) {
-  mesh::Frame frame;
-  if (!frame.ParseFromArray(bytes, static_cast<int>(size)) ||
-      (is_joined && frame.has_slice())) {
-    this->Fail("malformed frame");
-    return false;
+    return !this->closed;
   }
-  if (frame.has_slice()) {
-    return this->Join(frame.slice());
+  auto& [frame, left_out] = std::get<DecodedFrame>(message);
+  if (!left_out.empty() && this->hooks.on_left_out) {
+    this->hooks.on_left_out(this->shared_from_this(), left_out);
   }
   this->hooks.on_frame(this->shared_from_this(), frame);
   return !this->closed;
 }
 
-bool Link::Join(const mesh::Slice& slice) {
-  if (slice.is_withdrawn()) {
-    const auto found = this->joined.find(slice.stream());
-    if (found != this->joined.end()) {
-      this->joined_bytes -= found->second.size();
-      this->joined.erase(found);
-    }
-    return true;
-  }
-  std::string& bytes = this->joined[slice.stream()];
-  bytes += slice.bytes();
-  this->joined_bytes += slice.bytes().size();
-  if (this->joined_bytes > kMaxJoinedBytes) {
-    this->Fail("too many bytes in slices");
-    return false;
-  }
-  if (!slice.is_last()) {
-    return true;
-  }
-  const std::string whole = std::move(bytes);
-  this->joined.erase(slice.stream());
-  this->joined_bytes -= whole.size();
-  if (whole.size() < kLengthPrefixBytes) {
-    this->Fail("malformed frame");
-    return false;
-  }
-  constexpr bool kIsJoined = true;
-  return this->Dispatch(whole.data() + kLengthPrefixBytes,
-                        whole.size() - kLengthPrefixBytes, kIsJoined);
-}
-
 void Link::Fail(const std::string& reason) {
   if (this->closed) {
     return;
--- a/packages/sidecar/src/links/mesh.cpp
+++ b/packages/sidecar/src/links/mesh.cpp
@@ -136,6 +136,16 @@
                       [this](const LinkPointer& source, const std::string&) {
                         this->accepted.erase(source);
                         this->options.hooks.on_accepted_closed(source);
+                      },
+                  .on_unreadable =
+                      [this](const LinkPointer& source,
+                             const UnreadableFrame& unreadable) {
+                        this->OnUnreadable(source, unreadable);
+                      },
+                  .on_left_out =
+                      [this](const LinkPointer& source,
+                             const std::vector<std::string_view>& fields) {
+                        this->LogLeftOut(source, fields);
                       }});
   this->accepted.insert(link);
   link->Start();
@@ -192,8 +202,7 @@
 }
 
 void Mesh::UpdateMember(const mesh::Member& member) {
-  if (member.name() == this->self.name() || member.name().empty() ||
-      !io::http::TryParseEndpoint(member.address())) {
+  if (member.name() == this->self.name()) {
     return;
   }
   const auto [found, is_new] = this->peers.try_emplace(member.name());
@@ -264,7 +273,17 @@
                 this->OnDialledClosed(source, reason);
               },
           .on_connected =
-              [this](const LinkPointer& source) { this->SendHello(source); }});
+              [this](const LinkPointer& source) { this->SendHello(source); },
+          .on_unreadable =
+              [this](const LinkPointer& source,
+                     const UnreadableFrame& unreadable) {
+                this->OnUnreadable(source, unreadable);
+              },
+          .on_left_out =
+              [this](const LinkPointer& source,
+                     const std::vector<std::string_view>& fields) {
+                this->LogLeftOut(source, fields);
+              }});
   link->member = name;
   link->id = ++this->last_link_id;
   peer.dialled = link;
@@ -350,6 +369,26 @@
   this->options.hooks.on_hello(hello);
 }
 
+void Mesh::OnUnreadable(const LinkPointer& link,
+                        const UnreadableFrame& unreadable) {
+  this->log.Write(Event::kBadPeerMessage,
+                  {{"member", link->member},
+                   {"reason", unreadable.reason},
+                   {"call", std::to_string(unreadable.call_id)}});
+  if (unreadable.call_id != 0) {
+    this->options.hooks.on_unreadable(link, unreadable);
+  }
+}
+
+void Mesh::LogLeftOut(const LinkPointer& link,
+                      const std::vector<std::string_view>& fields) {
+  for (const std::string_view field : fields) {
+    this->log.Write(
+        Event::kBadPeerMessage,
+        {{"member", link->member}, {"reason", "left out"}, {"field", field}});
+  }
+}
+
 void Mesh::RepeatCancels(const LinkPointer& link) {
   for (const std::uint64_t call :
        this->cancels.SendAgain(link->member, Now())) {
--- a/packages/sidecar/src/requests/frontend.cpp
+++ b/packages/sidecar/src/requests/frontend.cpp
@@ -679,6 +679,17 @@
        .work = std::chrono::microseconds(reply.work_us())});
 }
 
+void Frontend::OnUnreadableReply(std::uint64_t link_id, std::uint64_t call_id,
+                                 const std::string& reason) {
+  const auto found = this->remote_calls.find(call_id);
+  if (found == this->remote_calls.end() || found->second->link_id != link_id) {
+    return;  // the call has been cancelled
+  }
+  const PendingPointer pending = found->second;
+  this->remote_calls.erase(found);
+  this->OnOutcome(pending, {.outcome = Outcome::kMayHaveRun, .reason = reason});
+}
+
 std::vector<Frontend::PendingPointer> Frontend::CallsOn(
     std::uint64_t link_id, bool only_idempotent) const {
   std::vector<PendingPointer> calls;
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -308,6 +308,11 @@
     return {
         .on_frame = [this](const links::LinkPointer& link,
                            mesh::Frame& frame) { this->OnFrame(link, frame); },
+        .on_unreadable =
+            [this](const links::LinkPointer& link,
+                   const links::UnreadableFrame& unreadable) {
+              this->OnUnreadable(link, unreadable);
+            },
         .on_target =
             [this](const std::string& member, const mesh::Target& target) {
               this->PutTarget(member, target);
@@ -366,8 +371,10 @@
             },
         .on_hello =
             [this](const mesh::Hello& hello) {
-              for (const std::string& start : hello.retired_starts()) {
-                this->RetireOwn(start);
+              for (const std::string& name : hello.retired_starts()) {
+                if (const auto start = ParseStartName(name)) {
+                  this->gate.Retire(*start);
+                }
               }
               this->quarantine.Apply(hello.crash_marks());
               if (hello.has_evacuations()) {
@@ -414,25 +421,9 @@
             }};
   }
 
-  // A start of the target beside this daemon has left, as others remember.
-  void RetireOwn(const std::string& name) {
-    if (const auto start = ParseStartName(name)) {
-      this->gate.Retire(*start);
-    } else {
-      this->log.Write(
-          Event::kBadPeerMessage,
-          {{"reason", "malformed name of a start"}, {"name", name}});
-    }
-  }
-
   void RecallLimit(const mesh::TargetLimit& known) {
-    const auto start = ParseStartName(known.start());
-    if (start && std::isfinite(known.per_second()) && known.per_second() >= 0) {
+    if (const auto start = ParseStartName(known.start())) {
       this->gate.RecallLimit(*start, known.per_second());
-    } else {
-      this->log.Write(
-          Event::kBadPeerMessage,
-          {{"reason", "malformed limit of a target"}, {"name", known.start()}});
     }
   }
 
@@ -615,6 +606,25 @@
     }
   }
 
+  // The caller learns at once how its call ended: an unreadable call has not
+  // run, a call with an unreadable reply may have.
+  void OnUnreadable(const links::LinkPointer& link,
+                    const links::UnreadableFrame& unreadable) {
+    using Kind = links::UnreadableFrame::Kind;
+    this->counters.Count("unreadable_frames", unreadable.reason);
+    if (unreadable.kind == Kind::kCall) {
+      if (this->accepted_calls.Contains(link, unreadable.call_id)) {
+        return;  // an earlier frame of the same id is at work
+      }
+      this->SendReply(
+          link, unreadable.call_id,
+          {.outcome = requests::Outcome::kNotRun, .reason = unreadable.reason});
+    } else if (unreadable.kind == Kind::kReply) {
+      this->front.OnUnreadableReply(link->id, unreadable.call_id,
+                                    unreadable.reason);
+    }
+  }
+
   static core::Duration TransitTime(const mesh::Call& call,
                                     core::Instant arrived_at) {
     if (call.sent_at_us() == 0) {
@@ -678,9 +688,13 @@
 
   void AnswerCall(const links::LinkPointer& link, std::uint64_t call_id,
                   requests::GateReply reply) {
-    if (!this->accepted_calls.Remove(link, call_id)) {
-      return;  // the link has closed
-    }
+    if (this->accepted_calls.Remove(link, call_id)) {
+      this->SendReply(link, call_id, std::move(reply));
+    }  // otherwise the link has closed
+  }
+
+  void SendReply(const links::LinkPointer& link, std::uint64_t call_id,
+                 requests::GateReply reply) {
     mesh::Frame frame;
     mesh::Reply& answer = *frame.mutable_reply();
     answer.set_call_id(call_id);
--- a/tests/sidecar/link_test.cpp
+++ b/tests/sidecar/link_test.cpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "lycheewell/sidecar/clock.h"
+#include "sidecar/call_frame.h"
 
 namespace {
 using namespace lycheewell;
@@ -18,13 +19,6 @@
 using asio::ip::tcp;
 using std::chrono::milliseconds;
 
-mesh::Frame CallFrame(std::uint64_t id, std::size_t body_size) {
-  mesh::Frame frame;
-  frame.mutable_call()->set_call_id(id);
-  frame.mutable_call()->set_body(std::string(body_size, 'b'));
-  return frame;
-}
-
 struct Fixture {
   asio::io_context context;
   tcp::acceptor acceptor{this->context,
--- a/tests/sidecar/unreadable_bytes_test.cpp
+++ b/tests/sidecar/unreadable_bytes_test.cpp
@@ -11,12 +11,14 @@
 #include <utility>
 #include <vector>
 
+#include "harness/peer.h"
 #include "harness/sidecar_vm.h"
 
 namespace {
 using namespace lycheewell;
 using harness::Eventually;
 using harness::kFirstSidecarPort;
+using harness::Peer;
 using harness::Reply;
 using harness::SendRequest;
 using harness::SidecarManifest;
@@ -25,6 +27,7 @@
 using io::http::Verb;
 using std::chrono::milliseconds;
 
+constexpr int kPeerPort = kFirstSidecarPort + 10;
 constexpr int kSlots = 64;
 constexpr int kOthers = 10;
 constexpr int kRequests = 100;
@@ -306,3 +309,101 @@
     CHECK(fixture.second.target->runs == runs);
   }
 }
+
+namespace {
+
+// A VM whose requests go to the target of a stand-in for a daemon.
+struct PeerFixture {
+  Store store{kFirstSidecarPort};
+  Vm vm{0};
+  Peer peer;
+
+  explicit PeerFixture(Peer::Options options) : peer(std::move(options)) {
+    signal(SIGPIPE, SIG_IGN);
+    this->store.PutManifest(SidecarManifest(1, R"("k1")"));
+    REQUIRE(Eventually([&] { return this->vm.IsReady(); }));
+    this->peer.Dial(this->vm.base_port + 4);
+    REQUIRE(Eventually([&] { return this->peer.open_links() == 2; }));
+    REQUIRE(Eventually([&] { return this->vm.Call("/pay/1").status == 200; }));
+  }
+
+  Reply Get(const std::string& target, const std::string& id) const {
+    return SendRequest(this->vm.base_port, Verb::get, target, "k1", "",
+                       kClientLimit, id);
+  }
+};
+
+mesh::Frame TargetFrame(const std::string& instance, std::uint64_t born) {
+  mesh::Frame frame;
+  mesh::Target& target = *frame.mutable_target();
+  target.set_instance(instance);
+  target.set_born_ms(born);
+  target.set_service("s");
+  target.set_slots(kSlots);
+  target.set_state(mesh::TAKES_WORK);
+  return frame;
+}
+
+}  // namespace
+
+// Guards against a link that closes, with the calls of all others on it, over
+// one frame that its receiver cannot read.
+TEST_CASE("What a peer sends ends no link", "[sidecar][unreadable]") {
+  PeerFixture fixture({.port = kPeerPort, .work = milliseconds(1500)});
+
+  SECTION("frames that are none") {
+    Others others(fixture.vm, "/long/1");
+    std::this_thread::sleep_for(milliseconds(150));
+    for (const char* content :
+         {"\xff", "\x12\x05", "no frame", "\x2a\x01\xff"}) {
+      const std::string text(content);
+      fixture.peer.Send(std::string(3, '\0') + static_cast<char>(text.size()) +
+                        text);
+    }
+    CHECK(others.CountServed() == kOthers);
+  }
+  SECTION("a target whose name cannot be read is none until the next news") {
+    Others others(fixture.vm, "/long/1");
+    std::this_thread::sleep_for(milliseconds(150));
+    fixture.peer.Send(TargetFrame("i-\xff\xfe", 2));
+    CHECK(Eventually([&] { return fixture.vm.Call("/pay/1").status == 503; }));
+    CHECK(others.CountServed() == kOthers);
+    fixture.peer.Send(TargetFrame("i-peer", 1));
+    CHECK(Eventually([&] { return fixture.vm.Call("/pay/1").status == 200; }));
+  }
+  SECTION("a call that cannot be read is answered as not run") {
+    mesh::Frame frame;
+    mesh::Call& call = *frame.mutable_call();
+    call.set_call_id(7'000);
+    call.set_instance("i-vm-0");
+    call.set_method("GET /a HTTP/1.1\r\n");
+    call.set_path_and_query("/a");
+    call.set_time_left_ms(3000);
+    fixture.peer.Send(frame);
+    REQUIRE(Eventually([&] { return !fixture.peer.replies().empty(); }));
+    for (const mesh::Reply& reply : fixture.peer.replies()) {
+      CHECK(reply.call_id() == 7'000);
+      CHECK(reply.outcome() == mesh::NOT_RUN);
+    }
+    CHECK(fixture.vm.target->runs == 0);
+  }
+  SECTION(
+      "a reply that cannot be read ends its call as one that may have run") {
+    const std::size_t before = fixture.peer.calls().size();
+    const auto begun = std::chrono::steady_clock::now();
+    std::thread replier([&] {
+      Eventually([&] { return fixture.peer.calls().size() > before; });
+      mesh::Frame frame;
+      frame.mutable_reply()->set_call_id(fixture.peer.calls().back().call_id());
+      frame.mutable_reply()->set_status(7);
+      fixture.peer.Send(frame);
+    });
+    const Reply reply = fixture.vm.Call("/long/1");
+    replier.join();
+    CHECK(reply.status == 502);
+    CHECK(reply.signature.empty());
+    CHECK(std::chrono::steady_clock::now() - begun < milliseconds(1500));
+  }
+  CHECK(fixture.peer.lost_links() == 0);
+  CHECK(fixture.vm.Call("/pay/1").status == 200);
+}
