Links: daemons of the version before get no text that they reject

During an update a daemon of the version before may be at the other end of a link. It still declares text fields as strings and closes the link, with the calls of all clients on it, over one that is not valid UTF-8.

A daemon says accepts_non_utf8 in its Hello now. A call whose id, path or query is not valid UTF-8 goes only to members that say so; if no other one has a target it is refused as not run, with Retry-After. Percent-encoding was rejected: the target would get other bytes than the client sent.

--- a/packages/sidecar/include/lycheewell/sidecar/links/link.h
+++ b/packages/sidecar/include/lycheewell/sidecar/links/link.h
@@ -89,6 +89,8 @@
   // The latest ping that was received; 0: none.
   std::uint64_t received_ping = 0;
   core::Instant ping_received_at;
+  // Whether the peer accepts text that is not valid UTF-8, as its Hello says.
+  bool peer_accepts_non_utf8 = false;
 
  private:
   // A frame that waits, with its length prefix.
--- a/packages/sidecar/include/lycheewell/sidecar/links/mesh.h
+++ b/packages/sidecar/include/lycheewell/sidecar/links/mesh.h
@@ -85,7 +85,7 @@
   void Start();
 
   // Sends on the link dialled to `member`. Returns the link's id, or 0 when it
-  // is not open.
+  // is not open or `member` cannot read the frame.
   std::uint64_t Send(const std::string& member, const mesh::Frame& frame);
 
   // Takes back a call that was sent on link `link_id`. Returns whether no part
@@ -120,6 +120,8 @@
   // Fraction of these daemons that are reachable, with this one.
   double reachable_fraction() const;
   std::vector<std::string> reachable_members() const;
+  // Whether `member` accepts calls with text that is not valid UTF-8.
+  bool accepts_non_utf8(const std::string& member) const;
   // Increases whenever the reachability of a member changes.
   std::uint64_t reachability_version() const { return this->reachability; }
   // When ping `id` was sent to `member` (time since boot). Empty when it is not
--- a/packages/sidecar/include/lycheewell/sidecar/links/message_checks.h
+++ b/packages/sidecar/include/lycheewell/sidecar/links/message_checks.h
@@ -24,6 +24,10 @@
 // each of them.
 std::vector<std::string_view> RemoveInvalid(mesh::Frame& frame);
 
+// Whether the call has text that is not valid UTF-8. Daemons that do not say
+// accepts_non_utf8 in their Hello close the link over it.
+bool HasNonUtf8Text(const mesh::Call& call);
+
 }  // namespace lycheewell::sidecar::links
 
 #endif  // LYCHEEWELL_SIDECAR_LINKS_MESSAGE_CHECKS_H_
--- a/packages/sidecar/src/links/mesh.cpp
+++ b/packages/sidecar/src/links/mesh.cpp
@@ -8,6 +8,7 @@
 #include "lycheewell/core/routing/rendezvous.h"
 #include "lycheewell/io/http/address.h"
 #include "lycheewell/sidecar/clock.h"
+#include "lycheewell/sidecar/links/message_checks.h"
 #include "lycheewell/sidecar/manifest/manifest_keeper.h"
 
 namespace lycheewell::sidecar::links {
@@ -297,6 +298,7 @@
   mesh::Hello& hello = *frame.mutable_hello();
   *hello.mutable_self() = this->self;
   hello.set_clock_us(ClockMicroseconds());
+  hello.set_accepts_non_utf8(true);
   this->options.hooks.fill_hello(hello, link->member);
   link->Send(frame);
 }
@@ -342,6 +344,7 @@
   const mesh::Hello& hello = frame.hello();
   const std::string name = hello.self().name();
   link->RecordPeerClock(hello.clock_us());
+  link->peer_accepts_non_utf8 = hello.accepts_non_utf8();
   if (is_dialled && name != link->member) {
     // Another daemon has taken over the address.
     link->Close();
@@ -657,6 +660,10 @@
       !found->second.dialled->is_open()) {
     return 0;
   }
+  if (frame.has_call() && HasNonUtf8Text(frame.call()) &&
+      !found->second.dialled->peer_accepts_non_utf8) {
+    return 0;  // it would close the link, with the calls of others
+  }
   found->second.dialled->Send(frame);
   return found->second.dialled->id;
 }
@@ -825,6 +832,12 @@
              : found->second.dialled->PeerTime(when).value_or(0);
 }
 
+bool Mesh::accepts_non_utf8(const std::string& member) const {
+  const auto found = this->peers.find(member);
+  return found != this->peers.end() && found->second.dialled &&
+         found->second.dialled->peer_accepts_non_utf8;
+}
+
 bool Mesh::is_reachable(const std::string& member) const {
   const auto found = this->peers.find(member);
   return found != this->peers.end() && found->second.reachable;
--- a/packages/sidecar/src/links/message_checks.cpp
+++ b/packages/sidecar/src/links/message_checks.cpp
@@ -283,4 +283,8 @@
   return filter.TakeRemoved();
 }
 
+bool HasNonUtf8Text(const mesh::Call& call) {
+  return !IsUtf8(call.request_id()) || !IsUtf8(call.path_and_query());
+}
+
 }  // namespace lycheewell::sidecar::links
--- a/packages/sidecar/src/requests/frontend.cpp
+++ b/packages/sidecar/src/requests/frontend.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <span>
 
+#include "lycheewell/core/names.h"
 #include "lycheewell/core/overload/call_patience.h"
 #include "lycheewell/sidecar/clock.h"
 
@@ -127,6 +128,8 @@
   bool was_over_limit = false;  // of a target
   bool may_have_run = false;    // an attempt ended without an answer
   std::set<std::string> excluded;
+  // Its id, path or query is not valid UTF-8. Not all daemons accept that.
+  bool has_non_utf8_text = false;
   TimerQueue::Id timer = 0;
   // The current attempt.
   std::string member;
@@ -207,6 +210,8 @@
     return;
   }
   pending->request = std::get<ClientRequest>(std::move(decoded));
+  pending->has_non_utf8_text = !core::IsUtf8(pending->request.id) ||
+                               !core::IsUtf8(pending->request.path_and_query);
   if (!pending->table) {
     this->Refuse(pending, 503, "no manifest yet", kNotReadyRetryAfter);
     return;
@@ -519,6 +524,13 @@
 std::optional<core::routing::Choice> Frontend::ChooseTarget(
     const PendingPointer& pending, core::Instant now) {
   pending->expected = this->costs.Expect(pending->Features());
+  if (pending->has_non_utf8_text) {
+    for (const std::string& member : this->options.mesh.reachable_members()) {
+      if (!this->options.mesh.accepts_non_utf8(member)) {
+        pending->excluded.insert(member);
+      }
+    }
+  }
   return this->targets.Choose(
       pending->service, pending->excluded, now, this->random,
       {.rank = pending->rank,
--- a/tests/harness/peer.cpp
+++ b/tests/harness/peer.cpp
@@ -173,6 +173,7 @@
   mesh::Hello& hello = *frame.mutable_hello();
   *hello.mutable_self() = this->Member();
   *hello.mutable_target() = this->Target();
+  hello.set_accepts_non_utf8(this->options.accepts_non_utf8);
   {
     const std::lock_guard lock(this->mutex);
     SendAll(socket, FrameBytes(frame));
--- a/tests/sidecar/frame_reader_test.cpp
+++ b/tests/sidecar/frame_reader_test.cpp
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "lycheewell/sidecar/links/message_checks.h"
 #include "sidecar/call_frame.h"
 
 namespace {
@@ -155,6 +156,8 @@
     fixture.FeedBetweenCalls(EncodeFrame(frame));
     REQUIRE(fixture.frames.size() == 3);
     CHECK(fixture.frames[1].SerializeAsString() == frame.SerializeAsString());
+    CHECK(links::HasNonUtf8Text(frame.call()));
+    CHECK_FALSE(links::HasNonUtf8Text(CallFrame(5).call()));
   }
   SECTION("a call that would be two requests is not") {
     const auto spoil = GENERATE(
--- a/tests/sidecar/unreadable_bytes_test.cpp
+++ b/tests/sidecar/unreadable_bytes_test.cpp
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <cstdlib>
 #include <string>
 #include <thread>
 #include <utility>
@@ -346,6 +347,31 @@
 
 }  // namespace
 
+// Guards against links that a daemon of the version before closes over text
+// that it does not accept.
+TEST_CASE("A daemon gets only text that its version accepts",
+          "[sidecar][unreadable]") {
+  const bool accepts_non_utf8 = GENERATE(false, true);
+  PeerFixture fixture({.port = kPeerPort,
+                       .accepts_non_utf8 = accepts_non_utf8,
+                       .work = milliseconds(1500)});
+  Others others(fixture.vm, "/long/1");
+  std::this_thread::sleep_for(milliseconds(150));
+  for (const Reply& reply :
+       {fixture.Get("/scan/1", "r-\xe9"), fixture.Get("/scan/\xe9", "r-1"),
+        fixture.Get("/scan/1?\xe9", "r-2")}) {
+    if (accepts_non_utf8) {
+      CHECK(reply.status == 200);
+    } else {
+      CHECK(reply.status == 503);
+      CHECK_FALSE(reply.retry_after.empty());
+    }
+  }
+  CHECK(others.CountServed() == kOthers);
+  CHECK(fixture.peer.refused_texts() == 0);
+  CHECK(fixture.peer.lost_links() == 0);
+}
+
 // Guards against a link that closes, with the calls of all others on it, over
 // one frame that its receiver cannot read.
 TEST_CASE("What a peer sends ends no link", "[sidecar][unreadable]") {
@@ -407,3 +433,30 @@
   CHECK(fixture.peer.lost_links() == 0);
   CHECK(fixture.vm.Call("/pay/1").status == 200);
 }
+
+// By hand: LYCHEEWELL_PREVIOUS names the program of the version before.
+TEST_CASE("A daemon of the version before keeps its links during an update",
+          "[.][previous-version]") {
+  const char* previous = std::getenv("LYCHEEWELL_PREVIOUS");
+  REQUIRE(previous != nullptr);
+  Fixture fixture;
+  const bool target_is_beside_previous = GENERATE(false, true);
+  Vm& updated = target_is_beside_previous ? fixture.second : fixture.first;
+  updated.program = previous;
+  updated.Restart();
+  const Reporter reporter(fixture.second);
+  fixture.AwaitServed();
+  const int runs = fixture.second.target->runs;
+  Others others(fixture.first, "/long/1?wait=1500");
+  fixture.AwaitAtWork(runs);
+  const Reply reply = fixture.Get("/scan/1", "r-\xe9");
+  if (target_is_beside_previous) {
+    CHECK(reply.status == 503);
+    CHECK(fixture.second.Report(HeartbeatPath("i-\xff\xfe"),
+                                ReportBody("ready")) == 200);
+  } else {
+    CHECK(reply.status == 200);
+    CHECK(reply.request_id == "r-\xe9");
+  }
+  CHECK(others.CountServed() == kOthers);
+}
