Settings: names that no peer accepts are rejected at the start

Peers leave out a member whose name or data centre has control characters or is too long, and a slash in a daemon's name makes its member record look like a record of another kind. The program now names the field and does not start.

--- a/packages/sidecar/src/settings.cpp
+++ b/packages/sidecar/src/settings.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <initializer_list>
 
+#include "lycheewell/core/names.h"
 #include "lycheewell/io/http/address.h"
 
 namespace lycheewell::sidecar {
@@ -288,6 +289,18 @@
       !io::http::TryParseEndpoint(settings.address + ":1")) {
     problems.push_back({"sidecar.address", "is not an IP number"});
   }
+  // Peers reject other names, and a slash separates the parts of a record's
+  // key.
+  if (!settings.name.empty() &&
+      (!core::IsName(settings.name) ||
+       settings.name.find('/') != std::string::npos)) {
+    problems.push_back(
+        {"sidecar.name", "has a slash, control characters or over 255 bytes"});
+  }
+  if (!settings.data_centre.empty() && !core::IsName(settings.data_centre)) {
+    problems.push_back(
+        {"sidecar.data_centre", "has control characters or over 255 bytes"});
+  }
   if (!problems.empty()) {
     return problems;
   }
--- a/tests/platform/adapter_test.cpp
+++ b/tests/platform/adapter_test.cpp
@@ -1,5 +1,6 @@
 #include "lycheewell/platform/adapter.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <filesystem>
 #include <fstream>
@@ -488,6 +489,23 @@
           "sidecar.bounds.account_window");
   }
 
+  SECTION("names that no peer accepts are rejected") {
+    for (const char* name : {"a\\nb", "a/b", "a\\u0000"}) {
+      INFO(name);
+      const auto wrong = sidecar::ParseSettings(
+          R"({"sidecar":{"name":")" + std::string(name) +
+          R"(","data_centre":")" + std::string(name) + R"("}})");
+      const auto& problems = std::get<daemon::settings::Problems>(wrong);
+      const auto names = [&](const std::string& path) {
+        return std::any_of(
+            problems.begin(), problems.end(),
+            [&](const auto& problem) { return problem.path == path; });
+      };
+      CHECK(names("sidecar.name"));
+      CHECK(names("sidecar.data_centre") ==
+            (std::string(name).find('/') == std::string::npos));
+    }
+  }
   SECTION("all problems are reported together") {
     const auto wrong = sidecar::ParseSettings(
         R"({"sidecar":{"name":7,"links_port":0,"bounds":{"stop_grace":"6"}}})");
