Logs: lines are printable UTF-8

Ids, paths and keys go into log lines as they came in, so a client could write bytes that no reader of UTF-8 decodes, and control characters. Such bytes are written as \xNN, at the one place where lines are made.

The logs of both daemons in the process test that sends each byte are valid UTF-8.

--- a/packages/daemon/src/events/event_log.cpp
+++ b/packages/daemon/src/events/event_log.cpp
@@ -9,7 +9,11 @@
 #include <log4cplus/loggingmacros.h>
 
 #include <algorithm>
+#include <array>
 #include <chrono>
+#include <cstdio>
+
+#include "lycheewell/core/names.h"
 
 namespace lycheewell::daemon::events {
 namespace {
@@ -54,21 +58,43 @@
   return log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("lycheewell"));
 }
 
+bool IsControl(unsigned char byte) { return byte < ' ' || byte == 0x7f; }
+
+// Lines are UTF-8 without control characters. Other bytes become "\xNN", line
+// breaks become blanks.
+std::string MakePrintable(std::string_view value) {
+  const bool is_utf8 = core::IsUtf8(value);
+  std::string printable;
+  for (const char letter : value) {
+    const auto byte = static_cast<unsigned char>(letter);
+    constexpr unsigned char kFirstAboveAscii = 0x80;
+    if (letter == '\n' || letter == '\r') {
+      printable += ' ';
+    } else if (IsControl(byte) || (byte >= kFirstAboveAscii && !is_utf8)) {
+      std::array<char, sizeof "\\xNN"> code{};
+      std::snprintf(code.data(), code.size(), "\\x%02X", byte);
+      printable += code.data();
+    } else {
+      printable += letter;
+    }
+  }
+  return printable;
+}
+
 // Values with blanks or quotes are quoted.
 void AppendValue(std::string& text, std::string_view value) {
-  const bool is_plain = !value.empty() && value.find_first_of(" \"\n\r") ==
-                                              std::string_view::npos;
-  if (is_plain) {
-    text += value;
+  const std::string printable = MakePrintable(value);
+  if (!printable.empty() &&
+      printable.find_first_of(" \"") == std::string::npos) {
+    text += printable;
     return;
   }
   text += '"';
-  for (const char letter : value) {
-    const bool breaks_line = letter == '\n' || letter == '\r';
+  for (const char letter : printable) {
     if (letter == '"') {
       text += '\\';
     }
-    text += breaks_line ? ' ' : letter;
+    text += letter;
   }
   text += '"';
 }
--- a/tests/sidecar/unreadable_bytes_test.cpp
+++ b/tests/sidecar/unreadable_bytes_test.cpp
@@ -14,6 +14,7 @@
 
 #include "harness/peer.h"
 #include "harness/sidecar_vm.h"
+#include "lycheewell/core/names.h"
 
 namespace {
 using namespace lycheewell;
@@ -211,6 +212,8 @@
     }
   }
   CHECK(others.CountServed() == kOthers);
+  CHECK(core::IsUtf8(fixture.first.Log()));
+  CHECK(core::IsUtf8(fixture.second.Log()));
 }
 
 // Guards against a report of another writer that replaces a sound target, whose
