Metrics: names in labels are escaped

A route's or data centre's name with a quote, a backslash or a line break made the metrics unreadable from there on. Found by reading, while looking for places where names from outside are written.

--- a/packages/sidecar/include/lycheewell/sidecar/counters.h
+++ b/packages/sidecar/include/lycheewell/sidecar/counters.h
@@ -12,6 +12,10 @@
 
 namespace lycheewell::sidecar {
 
+// `value` between the quotes of a label: backslashes, quotes and line breaks
+// are escaped.
+std::string EscapeLabel(std::string_view value);
+
 // Not thread-safe: used on the event loop's thread only.
 class Counters {
  public:
--- a/packages/sidecar/src/counters.cpp
+++ b/packages/sidecar/src/counters.cpp
@@ -4,6 +4,21 @@
 
 namespace lycheewell::sidecar {
 
+std::string EscapeLabel(std::string_view value) {
+  std::string escaped;
+  for (const char letter : value) {
+    if (letter == '\n') {
+      escaped += "\\n";
+      continue;
+    }
+    if (letter == '\\' || letter == '"') {
+      escaped += '\\';
+    }
+    escaped += letter;
+  }
+  return escaped;
+}
+
 void Counters::Count(std::string_view name, std::string_view reason,
                      std::uint64_t amount) {
   auto by_name = this->counters.find(name);
@@ -41,7 +56,7 @@
     for (const auto& [reason, value] : by_reason) {
       text << "lycheewell_" << name << "_total";
       if (!reason.empty()) {
-        text << "{reason=\"" << reason << "\"}";
+        text << "{reason=\"" << EscapeLabel(reason) << "\"}";
       }
       text << ' ' << value << '\n';
     }
--- a/packages/sidecar/src/manifest/evacuation_keeper.cpp
+++ b/packages/sidecar/src/manifest/evacuation_keeper.cpp
@@ -187,8 +187,8 @@
 
 void EvacuationKeeper::RenderMetrics(std::ostream& text) const {
   for (const std::string& data_centre : this->in_force) {
-    text << "lycheewell_data_centre_evacuated{data_centre=\"" << data_centre
-         << "\"} 1\n";
+    text << "lycheewell_data_centre_evacuated{data_centre=\""
+         << EscapeLabel(data_centre) << "\"} 1\n";
   }
 }
 
--- a/packages/sidecar/src/sidecar.cpp
+++ b/packages/sidecar/src/sidecar.cpp
@@ -962,8 +962,8 @@
     text << "lycheewell_entry_brake "
          << this->front.demand().lowest_brake_factor() << "\n";
     for (const auto& decision : this->front.demand().Decisions()) {
-      text << "lycheewell_entry_part{route=\"" << decision.route << "\"} "
-           << decision.admitted_fraction << "\n";
+      text << "lycheewell_entry_part{route=\"" << EscapeLabel(decision.route)
+           << "\"} " << decision.admitted_fraction << "\n";
     }
     exchange->Send({.status = 200,
                     .header_lines = "Content-Type: text/plain\r\n",
