--- a/packages/sidecar/include/lycheewell/sidecar/links/frame_codec.h
+++ b/packages/sidecar/include/lycheewell/sidecar/links/frame_codec.h
@@ -1,4 +1,4 @@
-// The bytes of the frames between two daemons, and what a daemon takes of them.
+// The encoding of frames between two daemons.
 #ifndef LYCHEEWELL_SIDECAR_LINKS_FRAME_CODEC_H_
 #define LYCHEEWELL_SIDECAR_LINKS_FRAME_CODEC_H_
 
@@ -22,12 +22,11 @@
 
 struct DecodedFrame {
   mesh::Frame frame;
-  // Fields that were left out because they could not be read.
+  // Names of the invalid parts that were left out.
   std::vector<std::string_view> left_out;
 };
 
-// A frame that says nothing that can be relied on, except for the call that it
-// belongs to.
+// A frame of which only its kind and the call that it belongs to are known.
 struct UnreadableFrame {
   enum class Kind { kCall, kReply, kSlice, kOther };
 
--- a/packages/sidecar/include/lycheewell/sidecar/links/mesh.h
+++ b/packages/sidecar/include/lycheewell/sidecar/links/mesh.h
@@ -192,6 +192,8 @@
   void ScheduleRedial(const std::string& name, bool reset_backoff);
   void SendHello(const LinkPointer& link);
   void OnFrame(const LinkPointer& link, mesh::Frame& frame, bool is_dialled);
+  // Adds the hooks for what cannot be read of a peer's bytes.
+  Link::Hooks WithUnreadableHooks(Link::Hooks hooks);
   void OnUnreadable(const LinkPointer& link, const UnreadableFrame& unreadable);
   void LogLeftOut(const LinkPointer& link,
                   const std::vector<std::string_view>& fields);
--- a/packages/sidecar/src/links/mesh.cpp
+++ b/packages/sidecar/src/links/mesh.cpp
@@ -126,28 +126,31 @@
       });
 }
 
+Link::Hooks Mesh::WithUnreadableHooks(Link::Hooks hooks) {
+  hooks.on_unreadable = [this](const LinkPointer& source,
+                               const UnreadableFrame& unreadable) {
+    this->OnUnreadable(source, unreadable);
+  };
+  hooks.on_left_out = [this](const LinkPointer& source,
+                             const std::vector<std::string_view>& fields) {
+    this->LogLeftOut(source, fields);
+  };
+  return hooks;
+}
+
 void Mesh::AddAccepted(tcp::socket socket) {
   const auto link = std::make_shared<Link>(
       std::move(socket),
-      Link::Hooks{.on_frame =
-                      [this](const LinkPointer& source, mesh::Frame& frame) {
-                        this->OnFrame(source, frame, false);
-                      },
-                  .on_closed =
-                      [this](const LinkPointer& source, const std::string&) {
-                        this->accepted.erase(source);
-                        this->options.hooks.on_accepted_closed(source);
-                      },
-                  .on_unreadable =
-                      [this](const LinkPointer& source,
-                             const UnreadableFrame& unreadable) {
-                        this->OnUnreadable(source, unreadable);
-                      },
-                  .on_left_out =
-                      [this](const LinkPointer& source,
-                             const std::vector<std::string_view>& fields) {
-                        this->LogLeftOut(source, fields);
-                      }});
+      this->WithUnreadableHooks(Link::Hooks{
+          .on_frame =
+              [this](const LinkPointer& source, mesh::Frame& frame) {
+                this->OnFrame(source, frame, false);
+              },
+          .on_closed =
+              [this](const LinkPointer& source, const std::string&) {
+                this->accepted.erase(source);
+                this->options.hooks.on_accepted_closed(source);
+              }}));
   this->accepted.insert(link);
   link->Start();
   this->SendHello(link);
@@ -264,7 +267,7 @@
   this->timers.Cancel(peer.redial_timer);
   const auto link = std::make_shared<Link>(
       this->context,
-      Link::Hooks{
+      this->WithUnreadableHooks(Link::Hooks{
           .on_frame =
               [this](const LinkPointer& source, mesh::Frame& frame) {
                 this->OnFrame(source, frame, true);
@@ -274,17 +277,7 @@
                 this->OnDialledClosed(source, reason);
               },
           .on_connected =
-              [this](const LinkPointer& source) { this->SendHello(source); },
-          .on_unreadable =
-              [this](const LinkPointer& source,
-                     const UnreadableFrame& unreadable) {
-                this->OnUnreadable(source, unreadable);
-              },
-          .on_left_out =
-              [this](const LinkPointer& source,
-                     const std::vector<std::string_view>& fields) {
-                this->LogLeftOut(source, fields);
-              }});
+              [this](const LinkPointer& source) { this->SendHello(source); }}));
   link->member = name;
   link->id = ++this->last_link_id;
   peer.dialled = link;
--- a/tests/platform/adapter_test.cpp
+++ b/tests/platform/adapter_test.cpp
@@ -255,11 +255,13 @@
           R"("info":{"service":"s","version":"v1","zone":"z"})",
           R"("info":{"service":"s","version":"v1","zone":"z","slots":"51"})",
           R"("info":{"service":"s","version":"v1","zone":"z","slots":0})",
-          R"("info":{"service":"s","version":"v1","zone":"z","slots":-3})",
-          "\"info\":{\"service\":\"s\xff\",\"version\":\"v1\",\"zone\":\"z\","
-          "\"slots\":51}"}) {
+          R"("info":{"service":"s","version":"v1","zone":"z","slots":-3})"}) {
       bodies.push_back(join({address, other_info, status}));
     }
+    bodies.push_back(join({address,
+                           R"("info":{"service":"s)" + std::string("\xff") +
+                               R"(","version":"v1","zone":"z","slots":51})",
+                           status}));
     for (const char* other_status :
          {R"("status":[])", R"("status":{"seq":4,"cold_time":"0ms"})",
           R"("status":{"state":"ready","cold_time":"0ms"})",
--- a/tests/platform/store_decoder_test.cpp
+++ b/tests/platform/store_decoder_test.cpp
@@ -29,7 +29,7 @@
   return BigEndian(content.size(), 4) + content;
 }
 
-const std::string kGood = R"({"key":"vm-1","value":"dm0tMQ=="})";
+constexpr const char* kGood = R"({"key":"vm-1","value":"dm0tMQ=="})";
 
 }  // namespace
 
@@ -44,7 +44,9 @@
           std::string(R"({"key":{"key":"vm-1"},"value":"dm0tMQ=="})"),
           std::string(100, '[') + std::string(100, ']')}) {
       INFO(entry);
-      const auto page = DecodeNewestPage(Page(entry + "," + kGood));
+      std::string items = entry;
+      items.append(",").append(kGood);
+      const auto page = DecodeNewestPage(Page(items));
       REQUIRE(page);
       CHECK(page->records == std::vector<StoredRecord>{{"vm-1", "vm-1"}});
       CHECK(page->without_key == 1);
@@ -58,8 +60,9 @@
          {R"("x")", R"("====")", R"("dm0tMQ")", R"("dm0t*Q==")",
           R"("dm0=tMQ=")", "7", "null", R"(["dm0tMQ=="])"}) {
       INFO(value);
-      const auto page = DecodeNewestPage(Page(
-          kGood + R"(,{"key":"vm-2","value":)" + std::string(value) + "}"));
+      const auto page = DecodeNewestPage(Page(std::string(kGood) +
+                                              R"(,{"key":"vm-2","value":)" +
+                                              std::string(value) + "}"));
       REQUIRE(page);
       CHECK(page->records.size() == 1);
       CHECK(page->without_value == std::vector<std::string>{"vm-2"});
@@ -67,17 +70,18 @@
     }
   }
   SECTION("a key of bytes that are no text") {
-    const auto page = DecodeNewestPage(
-        Page(kGood + ",{\"key\":\"departure/vm-1/i-\xff\xfe@5\",\"value\":\"" +
-             "aQ==\"}"));
+    const auto page = DecodeNewestPage(Page(
+        std::string(kGood) +
+        ",{\"key\":\"departure/vm-1/i-\xff\xfe@5\",\"value\":\"" + "aQ==\"}"));
     REQUIRE(page);
     CHECK(page->records ==
           std::vector<StoredRecord>{{"vm-1", "vm-1"},
                                     {"departure/vm-1/i-\xff\xfe@5", "i"}});
   }
   SECTION("a key of escaped bytes that are no text") {
-    const auto page = DecodeNewestPage(Page(
-        kGood + R"(,{"key":"i-\udcff\ud83d\ude00\ud800x\\ud800","value":""})"));
+    const auto page = DecodeNewestPage(
+        Page(std::string(kGood) +
+             R"(,{"key":"i-\udcff\ud83d\ude00\ud800x\\ud800","value":""})"));
     REQUIRE(page);
     REQUIRE(page->records.size() == 2);
     CHECK(page->records[1].key ==
--- a/tests/sidecar/frame_reader_test.cpp
+++ b/tests/sidecar/frame_reader_test.cpp
@@ -28,7 +28,7 @@
   return frame;
 }
 
-std::string WithLength(std::string content) {
+std::string WithLength(const std::string& content) {
   std::string bytes(links::kLengthPrefixBytes, '\0');
   for (std::size_t i = 0; i < links::kLengthPrefixBytes; ++i) {
     bytes[links::kLengthPrefixBytes - 1 - i] =
