--- a/tests/sidecar/unreadable_bytes_test.cpp
+++ b/tests/sidecar/unreadable_bytes_test.cpp
@@ -437,7 +437,8 @@
   CHECK(fixture.vm.Call("/pay/1").status == 200);
 }
 
-// By hand: LYCHEEWELL_PREVIOUS names the program of the version before.
+// By hand, left out by CMake: LYCHEEWELL_PREVIOUS names the program of the
+// version before.
 TEST_CASE("A daemon of the version before keeps its links during an update",
           "[.][previous-version]") {
   const char* previous = std::getenv("LYCHEEWELL_PREVIOUS");
